--- /dev/null
+++ b/pkg/timeline/event.go
@@ -0,0 +1,68 @@
+package timeline
+
+import (
+	"time"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+// Kinds of events; the set is bounded, since it is a metric label.
+const (
+	KindStart    Kind = "Start"    // a process started
+	KindStop     Kind = "Stop"     // a process stopped or started to leave
+	KindMember   Kind = "Member"   // a VM's membership state changed
+	KindView     Kind = "View"     // a zone view was proposed, accepted or sealed
+	KindLease    Kind = "Lease"    // a VM's lease was gained or lost
+	KindOwner    Kind = "Owner"    // ownership of a target changed
+	KindTarget   Kind = "Target"   // a target's state changed
+	KindSettings Kind = "Settings" // a settings revision came into force
+	KindRefuse   Kind = "Refuse"   // a request was refused
+	KindFlow     Kind = "Flow"     // a flow was placed, adopted, moved or ended
+	KindLimit    Kind = "Limit"    // a limit or queue changed
+	KindElection Kind = "Election" // a replica changed its role or term
+	KindSnapshot Kind = "Snapshot" // a replica wrote or loaded a snapshot
+	KindFault    Kind = "Fault"    // an error that needs an operator
+)
+
+type (
+	// Kind classifies events.
+	Kind string
+
+	// Stamp is a hybrid logical clock reading: wall time in nanoseconds and a
+	// counter that orders readings of equal wall time.
+	Stamp struct {
+		Wall    int64  `json:"Wall" cbor:"1,keyasint"`
+		Counter uint32 `json:"Counter" cbor:"2,keyasint"`
+	}
+
+	// Event is one entry of the time line; fields that do not apply are empty.
+	Event struct {
+		Stamp    Stamp           `json:"Stamp"`
+		Process  fleet.VMID      `json:"Process"`
+		Sequence uint64          `json:"Sequence"`
+		Kind     Kind            `json:"Kind"`
+		Name     string          `json:"Name"`
+		Zone     fleet.ZoneID    `json:"Zone,omitempty"`
+		VM       fleet.VMID      `json:"VM,omitempty"`
+		Target   string          `json:"Target,omitempty"`
+		Service  fleet.ServiceID `json:"Service,omitempty"`
+		Flow     string          `json:"Flow,omitempty"`
+		Epoch    fleet.Epoch     `json:"Epoch,omitempty"`
+		Revision fleet.Revision  `json:"Revision,omitempty"`
+		Cause    string          `json:"Cause,omitempty"`
+		Detail   string          `json:"Detail,omitempty"`
+	}
+
+	// Recorder takes events; implementations set Stamp, Process and Sequence.
+	Recorder interface {
+		Record(e Event, now time.Time)
+	}
+
+	// Discard is a Recorder that drops every event.
+	Discard struct{}
+)
+
+var _ Recorder = Discard{}
+
+// Record drops the event.
+func (Discard) Record(Event, time.Time) {}
