Fix the size of the pass header

Cause: the flag byte was added without raising the fixed size, so that the VM id lost its last byte.

Change: passFixedSize is 31.

Conclusion: the round-trip test, which failed before, passes.

--- a/pkg/balancer/packet.go
+++ b/pkg/balancer/packet.go
@@ -72,7 +72,7 @@
 
 const (
 	passVersion   = 1
-	passFixedSize = 30
+	passFixedSize = 31
 	maxVMIDLength = 64
 )
 
