--- /dev/null
+++ b/pkg/timeline/client.go
@@ -0,0 +1,214 @@
+package timeline
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// maxPageSize bounds what a client reads from one process.
+const maxPageSize = 16 << 20
+
+type (
+	// Source is the base URL of one process, such as "http://127.0.0.1:9100".
+	Source string
+
+	// Gap reports a process whose events are missing from a collection, in
+	// whole or in part.
+	Gap struct {
+		Source Source          `json:"Source"`
+		Shed   map[Kind]uint64 `json:"Shed,omitempty"`
+		Reason string          `json:"Reason"`
+	}
+
+	// Collection is the merged time line of many processes in causal order.
+	Collection struct {
+		Events []Event `json:"Events"`
+		Gaps   []Gap   `json:"Gaps"`
+	}
+
+	// SourceError reports a process that could not be read.
+	SourceError struct {
+		Source Source
+		Err    error
+	}
+
+	// StatusError reports an HTTP status other than 200.
+	StatusError struct {
+		Code int
+	}
+)
+
+// Error names the process.
+func (e *SourceError) Error() string { return fmt.Sprintf("timeline of %s: %v", e.Source, e.Err) }
+
+// Unwrap returns the cause.
+func (e *SourceError) Unwrap() error { return e.Err }
+
+// Error names the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d %s", e.Code, http.StatusText(e.Code))
+}
+
+// Client reads the events of many processes.
+type Client struct {
+	Sources []Source
+	Filter  Filter
+	HTTP    *http.Client
+}
+
+// Collect reads all processes once; those that fail stand in Gaps.
+func (c *Client) Collect(ctx context.Context) Collection {
+	var (
+		mu  sync.Mutex
+		wg  sync.WaitGroup
+		out Collection
+	)
+	for _, source := range c.Sources {
+		wg.Go(func() {
+			events, gap := c.readAll(ctx, source)
+			mu.Lock()
+			defer mu.Unlock()
+			out.Events = append(out.Events, events...)
+			if gap != nil {
+				out.Gaps = append(out.Gaps, *gap)
+			}
+		})
+	}
+	wg.Wait()
+	sortCausally(out.Events)
+	slices.SortFunc(out.Gaps, func(a, b Gap) int { return cmp.Compare(a.Source, b.Source) })
+	return out
+}
+
+// Follow calls emit for the events of all processes as they come, until ctx
+// ends; a process that fails is reported by gap and tried again.
+func (c *Client) Follow(ctx context.Context, emit func(Event), gap func(error)) {
+	events := make(chan Event)
+	errs := make(chan error)
+	var wg sync.WaitGroup
+	for _, source := range c.Sources {
+		wg.Go(func() { c.followOne(ctx, source, events, errs) })
+	}
+	done := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+	for {
+		select {
+		case e := <-events:
+			emit(e)
+		case err := <-errs:
+			gap(err)
+		case <-done:
+			return
+		}
+	}
+}
+
+func (c *Client) followOne(ctx context.Context, source Source, events chan<- Event, errs chan<- error) {
+	var after uint64
+	for ctx.Err() == nil {
+		page, err := c.read(ctx, source, after, maxWaiting/2)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			select {
+			case errs <- err:
+			case <-ctx.Done():
+				return
+			}
+			sleep(ctx, time.Second)
+			continue
+		}
+		for _, e := range page.Events {
+			select {
+			case events <- e:
+			case <-ctx.Done():
+				return
+			}
+		}
+		if page.Next < after {
+			after = 0 // the process restarted and counts anew
+			continue
+		}
+		after = page.Next
+	}
+}
+
+func (c *Client) readAll(ctx context.Context, source Source) ([]Event, *Gap) {
+	var (
+		events []Event
+		after  uint64
+	)
+	for {
+		page, err := c.read(ctx, source, after, 0)
+		if err != nil {
+			return events, &Gap{Source: source, Reason: err.Error()}
+		}
+		events = append(events, page.Events...)
+		if len(page.Events) < pageLimit || page.Next <= after {
+			return events, shedGap(source, page.Shed)
+		}
+		after = page.Next
+	}
+}
+
+func shedGap(source Source, shed map[Kind]uint64) *Gap {
+	if len(shed) == 0 {
+		return nil
+	}
+	return &Gap{Source: source, Shed: shed, Reason: "the process shed events"}
+}
+
+func (c *Client) read(ctx context.Context, source Source, after uint64, wait time.Duration) (Page, error) {
+	q := c.Filter.Query()
+	q.Set(paramAfter, strconv.FormatUint(after, 10))
+	q.Set(paramWait, wait.String())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, string(source)+Path+"?"+q.Encode(), nil)
+	if err != nil {
+		return Page{}, &SourceError{Source: source, Err: err}
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return Page{}, &SourceError{Source: source, Err: err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Page{}, &SourceError{Source: source, Err: &StatusError{Code: resp.StatusCode}}
+	}
+	var page Page
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPageSize)).Decode(&page); err != nil {
+		return Page{}, &SourceError{Source: source, Err: err}
+	}
+	return page, nil
+}
+
+// sortCausally orders by stamp; events of one process keep their sequence
+// because a clock's readings strictly rise.
+func sortCausally(events []Event) {
+	slices.SortStableFunc(events, func(a, b Event) int {
+		if c := a.Stamp.Compare(b.Stamp); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Process, b.Process)
+	})
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
