Add the settings tree, its log machine and delta copies

Cause: operators' settings need one checked tree with revisions, operation ids and limits, and entry VMs need a copy that never goes back.

--- /dev/null
+++ b/pkg/settings/command.go
@@ -0,0 +1,210 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+// Lifetime and clock tolerance of operation ids.
+const (
+	// OperationLifetime is how long the result of an operation is kept.
+	OperationLifetime = 15 * time.Minute
+	// operationSkew is how far an id's time may lie ahead of the log's time.
+	operationSkew      = time.Minute
+	maxOperationLength = 64
+)
+
+type (
+	// OperationID names one write: the time of issue in Unix milliseconds, a
+	// dash, and a random part.
+	OperationID string
+
+	// Write is the command that puts or deletes one document.
+	Write struct {
+		Operation OperationID `json:"Operation" cbor:"1,keyasint"`
+		Path      Path        `json:"Path" cbor:"2,keyasint"`
+		// Expect is the document's revision that the write was made against;
+		// 0 stands for a document that does not exist.
+		Expect fleet.Revision `json:"Expect" cbor:"3,keyasint"`
+		Text   string         `json:"Text" cbor:"4,keyasint"`
+		Delete bool           `json:"Delete" cbor:"5,keyasint"`
+		// KeyHash is the SHA-256 hash of the writer's key; the key itself is
+		// in no log.
+		KeyHash string `json:"-" cbor:"6,keyasint"`
+		// Root is set by a replica that has checked the operators' root key.
+		Root bool `json:"-" cbor:"7,keyasint"`
+	}
+
+	// Result is the outcome of a write, with a typed error taken apart.
+	Result struct {
+		Revision  fleet.Revision `json:"Revision,omitempty" cbor:"1,keyasint,omitempty"`
+		Code      Code           `json:"Code,omitempty" cbor:"2,keyasint,omitempty"`
+		Path      Path           `json:"Path,omitempty" cbor:"3,keyasint,omitempty"`
+		Expect    fleet.Revision `json:"Expect,omitempty" cbor:"4,keyasint,omitempty"`
+		Current   fleet.Revision `json:"Current,omitempty" cbor:"5,keyasint,omitempty"`
+		Faults    []Fault        `json:"Faults,omitempty" cbor:"6,keyasint,omitempty"`
+		Limit     string         `json:"Limit,omitempty" cbor:"7,keyasint,omitempty"`
+		Value     int            `json:"Value,omitempty" cbor:"8,keyasint,omitempty"`
+		Max       int            `json:"Max,omitempty" cbor:"9,keyasint,omitempty"`
+		Operation OperationID    `json:"Operation,omitempty" cbor:"10,keyasint,omitempty"`
+		Reason    string         `json:"Reason,omitempty" cbor:"11,keyasint,omitempty"`
+	}
+
+	// DecodeError reports bytes that are no valid message.
+	DecodeError struct {
+		Type string
+		Err  error
+	}
+)
+
+// Error names the type and the cause.
+func (e *DecodeError) Error() string { return fmt.Sprintf("decode %s: %v", e.Type, e.Err) }
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Err }
+
+// NewOperationID returns an id issued at now with a random part.
+func NewOperationID(now time.Time, random uint64) OperationID {
+	return OperationID(fmt.Sprintf("%d-%016x", now.UnixMilli(), random))
+}
+
+// Time returns the time of issue; it returns an OperationError.
+func (id OperationID) Time() (time.Time, error) {
+	millis, random, ok := strings.Cut(string(id), "-")
+	ms, err := strconv.ParseInt(millis, 10, 64)
+	if !ok || err != nil || ms < 0 || random == "" || len(id) > maxOperationLength {
+		return time.Time{}, &OperationError{Operation: string(id), Reason: "must be a time in milliseconds, a dash and a random part"}
+	}
+	return time.UnixMilli(ms), nil
+}
+
+// HashKey returns the SHA-256 hash of a key in hexadecimal.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Validate checks what does not depend on the tree.
+func (w *Write) Validate() error {
+	if _, err := ParsePath(string(w.Path)); err != nil {
+		return err
+	}
+	if _, err := w.Operation.Time(); err != nil {
+		return err
+	}
+	if len(w.Text) > MaxDocumentSize {
+		return &LimitError{Limit: "document size in bytes", Value: len(w.Text), Max: MaxDocumentSize}
+	}
+	return nil
+}
+
+// Encode returns the command for the log.
+func (w *Write) Encode() []byte { return mustMarshal(w) }
+
+// DecodeWrite decodes and checks a command; it returns a DecodeError for
+// bytes that are no command.
+func DecodeWrite(b []byte) (*Write, error) {
+	w := new(Write)
+	if err := cbor.Unmarshal(b, w); err != nil {
+		return nil, &DecodeError{Type: "Write", Err: err}
+	}
+	if err := w.Validate(); err != nil {
+		return nil, err
+	}
+	return w, nil
+}
+
+// DecodeResult decodes a result; it returns a DecodeError.
+func DecodeResult(b []byte) (*Result, error) {
+	r := new(Result)
+	if err := cbor.Unmarshal(b, r); err != nil {
+		return nil, &DecodeError{Type: "Result", Err: err}
+	}
+	return r, nil
+}
+
+// Encode returns the bytes of the result.
+func (r *Result) Encode() []byte { return mustMarshal(r) }
+
+// Err returns the typed error that the result stands for, or nil.
+func (r *Result) Err() error {
+	switch r.Code {
+	case "":
+		return nil
+	case CodeConflict:
+		return &ConflictError{Path: r.Path, Expect: r.Expect, Current: r.Current}
+	case CodeExpired:
+		return &ExpiredError{Operation: r.Operation}
+	case CodeReused:
+		return &ReusedError{Operation: r.Operation}
+	case CodeForbidden:
+		return &ForbiddenError{Path: r.Path}
+	case CodeInvalid:
+		return &InvalidError{Faults: r.Faults}
+	case CodeLimit:
+		return &LimitError{Limit: r.Limit, Value: r.Value, Max: r.Max}
+	case CodeNotFound:
+		return &NotFoundError{Path: r.Path}
+	case CodePath:
+		return &PathError{Path: string(r.Path), Reason: r.Reason}
+	case CodeOperation:
+		return &OperationError{Operation: string(r.Operation), Reason: r.Reason}
+	}
+	return &DecodeError{Type: "Result", Err: &fleet.UnknownError{Type: "code", Name: string(r.Code)}}
+}
+
+// resultOf takes a typed error apart.
+func resultOf(err error) *Result {
+	switch e := err.(type) {
+	case *ConflictError:
+		return &Result{Code: CodeConflict, Path: e.Path, Expect: e.Expect, Current: e.Current}
+	case *ExpiredError:
+		return &Result{Code: CodeExpired, Operation: e.Operation}
+	case *ReusedError:
+		return &Result{Code: CodeReused, Operation: e.Operation}
+	case *ForbiddenError:
+		return &Result{Code: CodeForbidden, Path: e.Path}
+	case *InvalidError:
+		return &Result{Code: CodeInvalid, Faults: e.Faults}
+	case *LimitError:
+		return &Result{Code: CodeLimit, Limit: e.Limit, Value: e.Value, Max: e.Max}
+	case *NotFoundError:
+		return &Result{Code: CodeNotFound, Path: e.Path}
+	case *PathError:
+		return &Result{Code: CodePath, Path: Path(e.Path), Reason: e.Reason}
+	case *OperationError:
+		return &Result{Code: CodeOperation, Operation: OperationID(e.Operation), Reason: e.Reason}
+	}
+	return &Result{Code: CodeInvalid, Faults: []Fault{{Reason: err.Error()}}}
+}
+
+// encoding is deterministic and keeps times to the nanosecond, so that a
+// replica restored from a snapshot equals one that applied the log.
+var encoding = newEncoding()
+
+func newEncoding() cbor.EncMode {
+	opts := cbor.CoreDetEncOptions()
+	opts.Time = cbor.TimeRFC3339NanoUTC
+	mode, err := opts.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// mustMarshal encodes a type of this package, which always has an encoding.
+func mustMarshal(v any) []byte {
+	b, err := encoding.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/settings/delta.go
@@ -0,0 +1,199 @@
+package settings
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+type (
+	// Delta turns the documents of revision From into those of revision To;
+	// a Full delta replaces all documents.
+	Delta struct {
+		From      fleet.Revision `cbor:"1,keyasint"`
+		To        fleet.Revision `cbor:"2,keyasint"`
+		Full      bool           `cbor:"3,keyasint"`
+		Documents []Document     `cbor:"4,keyasint"`
+		// Digest is that of the documents of revision To.
+		Digest Digest `cbor:"5,keyasint"`
+	}
+
+	// DigestError reports a delta that does not lead to the documents that
+	// its sender holds.
+	DigestError struct {
+		Got  Digest
+		Want Digest
+	}
+
+	// RevisionError reports a delta that does not fit the applied revision.
+	RevisionError struct {
+		Applied fleet.Revision
+		From    fleet.Revision
+		To      fleet.Revision
+	}
+)
+
+// Error names both digests.
+func (e *DigestError) Error() string {
+	return fmt.Sprintf("documents have digest %x, but the sender's have %x", uint64(e.Got), uint64(e.Want))
+}
+
+// Error names the revisions.
+func (e *RevisionError) Error() string {
+	return fmt.Sprintf("delta from revision %d to %d does not fit the applied revision %d", e.From, e.To, e.Applied)
+}
+
+// Validate checks the revisions and paths of a delta; it returns a
+// RevisionError or a PathError.
+func (d *Delta) Validate() error {
+	if d.From > d.To {
+		return &RevisionError{From: d.From, To: d.To}
+	}
+	for i := range d.Documents {
+		doc := &d.Documents[i]
+		if _, err := ParsePath(string(doc.Path)); err != nil {
+			return err
+		}
+		if doc.Revision > d.To {
+			return &RevisionError{From: d.From, To: doc.Revision}
+		}
+	}
+	return nil
+}
+
+// Encode returns the bytes of the delta.
+func (d *Delta) Encode() []byte { return mustMarshal(d) }
+
+// DecodeDelta decodes and checks a delta; it returns a DecodeError.
+func DecodeDelta(b []byte) (*Delta, error) {
+	d := new(Delta)
+	if err := cbor.Unmarshal(b, d); err != nil {
+		return nil, &DecodeError{Type: "Delta", Err: err}
+	}
+	if err := d.Validate(); err != nil {
+		return nil, &DecodeError{Type: "Delta", Err: err}
+	}
+	return d, nil
+}
+
+// Delta returns what leads from a revision to the present one; it is full
+// where the tombstones do not reach back to from.
+func (m *Machine) Delta(from fleet.Revision) *Delta { return m.tree.delta(from, m.floor) }
+
+func (t *tree) delta(from, floor fleet.Revision) *Delta {
+	d := &Delta{From: from, To: t.revision, Digest: t.digest}
+	if from == 0 || from < floor || from > t.revision {
+		d.Full, d.From = true, 0
+	}
+	for _, n := range t.nodes {
+		if n.Revision > d.From && !(d.Full && n.Deleted) {
+			d.Documents = append(d.Documents, n.Document)
+		}
+	}
+	slices.SortFunc(d.Documents, compareDocuments)
+	return d
+}
+
+// Store is an entry VM's copy of the documents. It is used by one goroutine;
+// Config returns immutable values for others. Its revision never falls.
+type Store struct {
+	tree   *tree
+	floor  fleet.Revision
+	config *Config
+}
+
+// NewStore returns a store without documents, at revision 0.
+func NewStore() *Store {
+	t := newTree()
+	return &Store{tree: t, config: compile(t)}
+}
+
+// Revision returns the applied revision.
+func (s *Store) Revision() fleet.Revision { return s.tree.revision }
+
+// Digest returns the digest of the applied documents.
+func (s *Store) Digest() Digest { return s.tree.digest }
+
+// Config returns the immutable configuration of the applied revision.
+func (s *Store) Config() *Config { return s.config }
+
+// Delta returns what leads a peer from a revision to the applied one.
+func (s *Store) Delta(from fleet.Revision) *Delta { return s.tree.delta(from, s.floor) }
+
+// Apply moves the store to the delta's revision; it reports false for one
+// that is not newer. A RevisionError or DigestError leaves the store as it
+// was: the caller asks for a full delta.
+func (s *Store) Apply(d *Delta) (bool, error) {
+	if d.To <= s.tree.revision {
+		return false, nil
+	}
+	if !d.Full && d.From > s.tree.revision {
+		return false, &RevisionError{Applied: s.tree.revision, From: d.From, To: d.To}
+	}
+	next := newTree()
+	if !d.Full {
+		next = s.tree.clone()
+	}
+	for _, doc := range d.Documents {
+		if old := next.nodes[doc.Path]; old != nil && old.Revision >= doc.Revision {
+			continue
+		}
+		n, err := newNode(doc)
+		if err != nil {
+			return false, err
+		}
+		next.set(n)
+	}
+	if next.digest != d.Digest {
+		return false, &DigestError{Got: next.digest, Want: d.Digest}
+	}
+	next.revision = d.To
+	if d.Full {
+		s.floor = d.To
+	}
+	s.floor = max(s.floor, next.pruneTombstones())
+	s.tree = next
+	s.config = compile(next)
+	return true, nil
+}
+
+// clone copies the indexes; nodes are immutable and shared.
+func (t *tree) clone() *tree {
+	c := newTree()
+	c.revision = t.revision
+	c.digest = t.digest
+	c.nodes = maps.Clone(t.nodes)
+	c.listeners = maps.Clone(t.listeners)
+	c.bytes = maps.Clone(t.bytes)
+	for id, users := range t.users {
+		c.users[id] = maps.Clone(users)
+	}
+	for id, users := range t.zoneUsers {
+		c.zoneUsers[id] = maps.Clone(users)
+	}
+	return c
+}
+
+// pruneTombstones forgets the oldest tombstones above the limit and returns
+// the highest revision that it forgot.
+func (t *tree) pruneTombstones() fleet.Revision {
+	if len(t.nodes) <= maxTombstones {
+		return 0
+	}
+	docs := make([]Document, 0, len(t.nodes))
+	for _, n := range t.nodes {
+		docs = append(docs, n.Document)
+	}
+	paths := tombstonesOf(docs)
+	floor := fleet.Revision(0)
+	for len(paths) > maxTombstones {
+		floor = t.nodes[paths[0]].Revision
+		delete(t.nodes, paths[0])
+		paths = paths[1:]
+	}
+	return floor
+}
--- /dev/null
+++ b/pkg/settings/error.go
@@ -0,0 +1,137 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+// Codes of errors on the wire.
+const (
+	CodeConflict  Code = "Conflict"
+	CodeExpired   Code = "OperationExpired"
+	CodeReused    Code = "OperationReused"
+	CodeForbidden Code = "Forbidden"
+	CodeInvalid   Code = "Invalid"
+	CodeLimit     Code = "LimitExceeded"
+	CodeNotFound  Code = "NotFound"
+	CodePath      Code = "BadPath"
+	CodeOperation Code = "BadOperation"
+)
+
+type (
+	// Code names a type of error on the wire.
+	Code string
+
+	// ConflictError reports a write against a revision that is not current.
+	ConflictError struct {
+		Path    Path
+		Expect  fleet.Revision
+		Current fleet.Revision
+	}
+
+	// ExpiredError reports an operation id whose record is no longer kept.
+	ExpiredError struct {
+		Operation OperationID
+	}
+
+	// ReusedError reports an operation id that stood for another write.
+	ReusedError struct {
+		Operation OperationID
+	}
+
+	// ForbiddenError reports a write that the key does not allow.
+	ForbiddenError struct {
+		Path Path
+	}
+
+	// Fault is one thing that is wrong in a document.
+	Fault struct {
+		Path   Path   `json:"Path" cbor:"1,keyasint"`
+		Key    string `json:"Key" cbor:"2,keyasint"`
+		Line   int    `json:"Line,omitempty" cbor:"3,keyasint"`
+		Reason string `json:"Reason" cbor:"4,keyasint"`
+	}
+
+	// InvalidError reports all faults of a document.
+	InvalidError struct {
+		Faults []Fault
+	}
+
+	// LimitError reports a size or a rate that is exceeded.
+	LimitError struct {
+		Limit string
+		Value int
+		Max   int
+	}
+
+	// NotFoundError reports a path without a document.
+	NotFoundError struct {
+		Path Path
+	}
+
+	// PathError reports a path that names no document.
+	PathError struct {
+		Path   string
+		Reason string
+	}
+
+	// OperationError reports an operation id that does not parse or lies in
+	// the future.
+	OperationError struct {
+		Operation string
+		Reason    string
+	}
+)
+
+// Error names the path and both revisions.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%s: write against revision %d, but the current revision is %d", e.Path, e.Expect, e.Current)
+}
+
+// Error names the operation.
+func (e *ExpiredError) Error() string {
+	return fmt.Sprintf("operation %s: its record has expired; it was not run again", e.Operation)
+}
+
+// Error names the operation.
+func (e *ReusedError) Error() string {
+	return fmt.Sprintf("operation %s: the id stands for another write", e.Operation)
+}
+
+// Error names the path.
+func (e *ForbiddenError) Error() string { return fmt.Sprintf("%s: the key may not write here", e.Path) }
+
+// Error names the path, the line, the key and the reason.
+func (f Fault) Error() string {
+	if f.Line > 0 {
+		return fmt.Sprintf("%s:%d: %s: %s", f.Path, f.Line, f.Key, f.Reason)
+	}
+	return fmt.Sprintf("%s: %s: %s", f.Path, f.Key, f.Reason)
+}
+
+// Error lists all faults.
+func (e *InvalidError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = f.Error()
+	}
+	return strings.Join(lines, "; ")
+}
+
+// Error names the limit.
+func (e *LimitError) Error() string {
+	return fmt.Sprintf("%s is %d, at most %d is allowed", e.Limit, e.Value, e.Max)
+}
+
+// Error names the path.
+func (e *NotFoundError) Error() string { return fmt.Sprintf("%s: no such document", e.Path) }
+
+// Error names the path and the reason.
+func (e *PathError) Error() string { return fmt.Sprintf("path %q: %s", e.Path, e.Reason) }
+
+// Error names the operation and the reason.
+func (e *OperationError) Error() string {
+	return fmt.Sprintf("operation id %q: %s", e.Operation, e.Reason)
+}
--- /dev/null
+++ b/pkg/settings/machine.go
@@ -0,0 +1,368 @@
+package settings
+
+import (
+	"cmp"
+	"crypto/subtle"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+// Bounds of what a machine keeps beside the documents.
+const (
+	maxVersions   = 8
+	maxTombstones = 4096
+)
+
+type (
+	// Version is one entry of a document's history.
+	Version struct {
+		Document
+		At time.Time `json:"At" cbor:"5,keyasint"`
+	}
+
+	// record is the kept result of one operation.
+	record struct {
+		Operation OperationID `cbor:"1,keyasint"`
+		Issued    time.Time   `cbor:"2,keyasint"`
+		Request   uint64      `cbor:"3,keyasint"`
+		Result    Result      `cbor:"4,keyasint"`
+	}
+
+	// snapshot is the encoded state of a machine.
+	snapshot struct {
+		Revision fleet.Revision            `cbor:"1,keyasint"`
+		Floor    fleet.Revision            `cbor:"2,keyasint"`
+		Nodes    []Document                `cbor:"3,keyasint"`
+		Records  []record                  `cbor:"4,keyasint"`
+		History  map[Path][]Version        `cbor:"5,keyasint"`
+		Buckets  map[fleet.TeamName]bucket `cbor:"6,keyasint"`
+		Expired  time.Time                 `cbor:"7,keyasint"`
+	}
+)
+
+// Machine applies writes in the order of the log. It is used by one goroutine
+// and decides by the time stamps in the log alone.
+type Machine struct {
+	tree *tree
+	// floor is the highest revision of a tombstone that was forgotten; a
+	// delta from below it can't say what was deleted.
+	floor      fleet.Revision
+	tombstones []Path
+	records    map[OperationID]*record
+	// order lists the operations by arrival, for expiry.
+	order   []OperationID
+	history map[Path][]Version
+	buckets map[fleet.TeamName]*bucket
+	// expired is the highest time up to which records were forgotten; an id
+	// issued at or before it is not run, even where the log's time goes back.
+	expired time.Time
+}
+
+// NewMachine returns a machine without documents.
+func NewMachine() *Machine {
+	return &Machine{
+		tree:    newTree(),
+		records: make(map[OperationID]*record),
+		history: make(map[Path][]Version),
+		buckets: make(map[fleet.TeamName]*bucket),
+	}
+}
+
+// Apply runs one command stamped with the log's time and returns the encoded
+// Result.
+func (m *Machine) Apply(command []byte, now time.Time) []byte {
+	w, err := DecodeWrite(command)
+	if err != nil {
+		return resultOf(err).Encode()
+	}
+	m.expire(now)
+	return m.apply(w, now).Encode()
+}
+
+func (m *Machine) apply(w *Write, now time.Time) *Result {
+	request := w.hash()
+	if rec := m.records[w.Operation]; rec != nil {
+		if rec.Request != request {
+			return resultOf(&ReusedError{Operation: w.Operation})
+		}
+		return &rec.Result
+	}
+	issued, err := m.checkOperation(w.Operation, now)
+	if err != nil {
+		return resultOf(err)
+	}
+	if !m.allowed(w) {
+		return resultOf(&ForbiddenError{Path: w.Path})
+	}
+	if err := m.bucket(w.Path).take(now); err != nil {
+		return resultOf(err)
+	}
+	r := m.write(w, now)
+	m.records[w.Operation] = &record{Operation: w.Operation, Issued: issued, Request: request, Result: *r}
+	m.order = append(m.order, w.Operation)
+	return r
+}
+
+func (m *Machine) checkOperation(id OperationID, now time.Time) (time.Time, error) {
+	issued, err := id.Time()
+	switch {
+	case err != nil:
+		return time.Time{}, err
+	case issued.After(now.Add(operationSkew)):
+		return time.Time{}, &OperationError{Operation: string(id), Reason: "lies in the future"}
+	case !issued.After(now.Add(-OperationLifetime)) || !issued.After(m.expired):
+		return time.Time{}, &ExpiredError{Operation: id}
+	}
+	return issued, nil
+}
+
+// allowed reports whether the writer's key may write at the path.
+func (m *Machine) allowed(w *Write) bool {
+	if w.Root {
+		return true
+	}
+	if w.KeyHash == "" {
+		return false
+	}
+	for _, p := range m.tree.paths("/Access") {
+		a := m.tree.nodes[p].content.(*Access)
+		if subtle.ConstantTimeCompare([]byte(a.KeyHash), []byte(w.KeyHash)) != 1 {
+			continue
+		}
+		if slices.ContainsFunc(a.Write, w.Path.Under) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) write(w *Write, now time.Time) *Result {
+	current := fleet.Revision(0)
+	if n := m.tree.live(w.Path); n != nil {
+		current = n.Revision
+	}
+	if w.Expect != current {
+		return resultOf(&ConflictError{Path: w.Path, Expect: w.Expect, Current: current})
+	}
+	n, err := m.next(w)
+	if err != nil {
+		return resultOf(err)
+	}
+	m.tree.set(n)
+	m.remember(n, now)
+	return &Result{Revision: n.Revision}
+}
+
+// next returns the node that the write makes, or the reason why it can't.
+func (m *Machine) next(w *Write) (*node, error) {
+	n := &node{Document: Document{Path: w.Path, Revision: m.tree.revision + 1, Text: w.Text}}
+	if w.Delete {
+		if m.tree.live(w.Path) == nil {
+			return nil, &NotFoundError{Path: w.Path}
+		}
+		n.Text, n.Deleted = "", true
+		return n, m.tree.checkDelete(w.Path)
+	}
+	var err error
+	if n.content, err = decode(w.Path, w.Text); err != nil {
+		return nil, err
+	}
+	if err := m.tree.checkPut(w.Path, n.content); err != nil {
+		return nil, err
+	}
+	return n, m.tree.checkSize(w.Path, w.Text)
+}
+
+// remember keeps the history of a document and bounds the tombstones.
+func (m *Machine) remember(n *node, now time.Time) {
+	versions := append(m.history[n.Path], Version{Document: n.Document, At: now})
+	if len(versions) > maxVersions {
+		versions = slices.Clone(versions[len(versions)-maxVersions:])
+	}
+	m.history[n.Path] = versions
+	m.tombstones = slices.DeleteFunc(m.tombstones, func(p Path) bool { return p == n.Path })
+	if !n.Deleted {
+		return
+	}
+	m.tombstones = append(m.tombstones, n.Path)
+	if len(m.tombstones) <= maxTombstones {
+		return
+	}
+	oldest := m.tombstones[0]
+	m.tombstones = slices.Clone(m.tombstones[1:])
+	m.floor = m.tree.nodes[oldest].Revision
+	delete(m.tree.nodes, oldest)
+	delete(m.history, oldest)
+}
+
+func (m *Machine) expire(now time.Time) {
+	limit := now.Add(-OperationLifetime)
+	n := 0
+	for n < len(m.order) && !m.records[m.order[n]].Issued.After(limit) {
+		m.expired = later(m.expired, m.records[m.order[n]].Issued)
+		delete(m.records, m.order[n])
+		n++
+	}
+	if n > 0 {
+		m.order = slices.Clone(m.order[n:])
+	}
+	for team, b := range m.buckets {
+		if b.full(now) {
+			delete(m.buckets, team)
+		}
+	}
+}
+
+func (m *Machine) bucket(p Path) *bucket {
+	team := teamOf(p)
+	if m.buckets[team] == nil {
+		m.buckets[team] = new(bucket)
+	}
+	return m.buckets[team]
+}
+
+// Revision returns the revision of the tree.
+func (m *Machine) Revision() fleet.Revision { return m.tree.revision }
+
+// Digest returns the digest of the live documents.
+func (m *Machine) Digest() Digest { return m.tree.digest }
+
+// Get returns a live document; it returns a NotFoundError.
+func (m *Machine) Get(p Path) (Document, error) {
+	n := m.tree.live(p)
+	if n == nil {
+		return Document{}, &NotFoundError{Path: p}
+	}
+	return n.Document, nil
+}
+
+// List returns the live documents below prefix, ordered by path.
+func (m *Machine) List(prefix string) []Document {
+	paths := m.tree.paths(prefix)
+	out := make([]Document, len(paths))
+	for i, p := range paths {
+		out[i] = m.tree.nodes[p].Document
+	}
+	return out
+}
+
+// History returns the kept versions of a path, oldest first; it returns a
+// NotFoundError.
+func (m *Machine) History(p Path) ([]Version, error) {
+	if len(m.history[p]) == 0 {
+		return nil, &NotFoundError{Path: p}
+	}
+	return slices.Clone(m.history[p]), nil
+}
+
+// Snapshot encodes the state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	s := snapshot{
+		Revision: m.tree.revision,
+		Floor:    m.floor,
+		History:  m.history,
+		Buckets:  make(map[fleet.TeamName]bucket, len(m.buckets)),
+		Expired:  m.expired,
+	}
+	for _, n := range m.tree.nodes {
+		s.Nodes = append(s.Nodes, n.Document)
+	}
+	slices.SortFunc(s.Nodes, compareDocuments)
+	for _, id := range m.order {
+		s.Records = append(s.Records, *m.records[id])
+	}
+	for team, b := range m.buckets {
+		s.Buckets[team] = *b
+	}
+	b, err := encoding.Marshal(&s)
+	if err != nil {
+		return nil, &DecodeError{Type: "Snapshot", Err: err}
+	}
+	return b, nil
+}
+
+// Restore replaces the state by a snapshot's; it returns a DecodeError and
+// leaves the state as it was where the bytes are no snapshot.
+func (m *Machine) Restore(b []byte) error {
+	var s snapshot
+	if err := cbor.Unmarshal(b, &s); err != nil {
+		return &DecodeError{Type: "Snapshot", Err: err}
+	}
+	t, err := buildTree(s.Nodes)
+	if err != nil {
+		return err
+	}
+	fresh := NewMachine()
+	fresh.tree, fresh.floor, fresh.expired = t, s.Floor, s.Expired
+	fresh.tree.revision = s.Revision
+	for i := range s.Records {
+		rec := &s.Records[i]
+		fresh.records[rec.Operation] = rec
+		fresh.order = append(fresh.order, rec.Operation)
+	}
+	for p, versions := range s.History {
+		fresh.history[p] = versions
+	}
+	for team, b := range s.Buckets {
+		fresh.buckets[team] = &b
+	}
+	fresh.tombstones = tombstonesOf(s.Nodes)
+	*m = *fresh
+	return nil
+}
+
+// buildTree decodes documents into a tree; it returns a DecodeError for a
+// document that does not decode.
+func buildTree(docs []Document) (*tree, error) {
+	t := newTree()
+	for _, d := range docs {
+		n, err := newNode(d)
+		if err != nil {
+			return nil, err
+		}
+		t.set(n)
+	}
+	return t, nil
+}
+
+func newNode(d Document) (*node, error) {
+	n := &node{Document: d}
+	if d.Deleted {
+		return n, nil
+	}
+	c, err := decode(d.Path, d.Text)
+	if err != nil {
+		return nil, &DecodeError{Type: "Document", Err: err}
+	}
+	n.content = c
+	return n, nil
+}
+
+func tombstonesOf(docs []Document) []Path {
+	deleted := slices.DeleteFunc(slices.Clone(docs), func(d Document) bool { return !d.Deleted })
+	slices.SortFunc(deleted, func(a, b Document) int { return cmp.Compare(a.Revision, b.Revision) })
+	var out []Path
+	for _, d := range deleted {
+		out = append(out, d.Path)
+	}
+	return out
+}
+
+// hash identifies what a write asks for, without who asks.
+func (w *Write) hash() uint64 {
+	bare := *w
+	bare.KeyHash, bare.Root = "", false
+	return xxhash.Sum64(bare.Encode())
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/settings/settings_test.go
@@ -0,0 +1,359 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+const (
+	zoneText    = "Weight = 1.0\nState = \"In\"\nCouncil = [\"monza-1\"]\n[[EntryVMs]]\nID = \"monza-1\"\nControl = \"127.0.0.1:1\"\nData = \"127.0.0.1:2\"\n"
+	serviceText = "Credential = \"0000000000000000000000000000000000000000000000000000000000000000\"\nZones = [\"Monza\"]\n[[Kinds]]\nName = \"Order\"\nWeight = 2.0\nShare = 0.5\nDeadline = \"300ms\"\nIdleTimeout = \"2s\"\n"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// editor writes to a machine with a new operation id each time.
+type editor struct {
+	m   *Machine
+	n   uint64
+	now time.Time
+}
+
+func newEditor() *editor { return &editor{m: NewMachine(), now: start} }
+
+func (e *editor) write(p Path, expect fleet.Revision, text string) Write {
+	e.n++
+	return Write{Operation: NewOperationID(e.now, e.n), Path: p, Expect: expect, Text: text, Root: true}
+}
+
+func (e *editor) apply(t testing.TB, w Write) *Result {
+	t.Helper()
+	r, err := DecodeResult(e.m.Apply(w.Encode(), e.now))
+	if err != nil {
+		t.Fatalf("result of %s: got %v, want no error", w.Path, err)
+	}
+	return r
+}
+
+func (e *editor) put(t testing.TB, p Path, expect fleet.Revision, text string) fleet.Revision {
+	t.Helper()
+	r := e.apply(t, e.write(p, expect, text))
+	if err := r.Err(); err != nil {
+		t.Fatalf("put %s: got %v, want no error", p, err)
+	}
+	return r.Revision
+}
+
+func listenerText(port int) string {
+	return fmt.Sprintf("Address = \"10.0.0.1:%d\"\nProtocol = \"tcp\"\nService = \"Counter\"\nKind = \"Order\"\nAnswers = \"Direct\"\n", port)
+}
+
+func seeded(t testing.TB) *editor {
+	e := newEditor()
+	e.put(t, "/Zones/Monza", 0, zoneText)
+	e.put(t, "/Teams/Nastrificio/Services/Counter", 0, serviceText)
+	e.put(t, "/Teams/Nastrificio/Listeners/Web", 0, listenerText(443))
+	return e
+}
+
+// Guards against bad documents that are accepted, or refused without naming
+// each fault; the expected faults stand beside the lines that cause them.
+func TestInvalidDocuments(t *testing.T) {
+	files, err := filepath.Glob("testdata/invalid/*.toml")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("got files %v, %v, want some", files, err)
+	}
+	want := regexp.MustCompile(`# want ([^:]*): (.*)`)
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		first, _, _ := strings.Cut(string(text), "\n")
+		e := seeded(t)
+		p := Path(strings.TrimPrefix(first, "# Path: "))
+		expect := fleet.Revision(0)
+		if d, err := e.m.Get(p); err == nil {
+			expect = d.Revision
+		}
+		before := e.m.Digest()
+		var ie *InvalidError
+		if err := e.apply(t, e.write(p, expect, string(text))).Err(); !errors.As(err, &ie) {
+			t.Errorf("%s: got %v, want InvalidError", file, err)
+			continue
+		}
+		matches := want.FindAllStringSubmatch(string(text), -1)
+		if len(ie.Faults) != len(matches) {
+			t.Errorf("%s: got faults %v, want %d", file, ie.Faults, len(matches))
+		}
+		for _, m := range matches {
+			if !hasFault(ie.Faults, m[1], m[2]) {
+				t.Errorf("%s: got faults %v, want %s: %s", file, ie.Faults, m[1], m[2])
+			}
+		}
+		if e.m.Digest() != before {
+			t.Errorf("%s: digest changed by a refused write", file)
+		}
+	}
+}
+
+func hasFault(faults []Fault, key, reason string) bool {
+	for _, f := range faults {
+		if f.Key == key && strings.HasPrefix(f.Reason, reason) {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a document that is deleted while another refers to it.
+func TestDeleteInUse(t *testing.T) {
+	e := seeded(t)
+	for _, p := range []Path{"/Zones/Monza", "/Teams/Nastrificio/Services/Counter"} {
+		d, err := e.m.Get(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := e.write(p, d.Revision, "")
+		w.Delete = true
+		var ie *InvalidError
+		if err := e.apply(t, w).Err(); !errors.As(err, &ie) {
+			t.Errorf("delete %s: got %v, want InvalidError", p, err)
+		}
+	}
+}
+
+// Guards against two winners among operators who write against the same
+// revision, and against a retry that runs twice or gets another answer.
+func TestRaceAndRetry(t *testing.T) {
+	e := seeded(t)
+	d, err := e.m.Get("/Zones/Monza")
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := e.write(d.Path, d.Revision, zoneText+"# first\n")
+	second := e.write(d.Path, d.Revision, zoneText+"# second\n")
+	won := e.apply(t, first)
+	if won.Err() != nil {
+		t.Fatalf("first write: got %v, want no error", won.Err())
+	}
+	var ce *ConflictError
+	if err := e.apply(t, second).Err(); !errors.As(err, &ce) || ce.Current != won.Revision {
+		t.Errorf("second write: got %v, want ConflictError at revision %d", err, won.Revision)
+	}
+	e.put(t, d.Path, won.Revision, zoneText+"# third\n")
+	if got := e.apply(t, first); got.Revision != won.Revision || got.Code != "" {
+		t.Errorf("retry: got %+v, want the first result %+v", got, won)
+	}
+	reused := first
+	reused.Text = zoneText
+	var re *ReusedError
+	if err := e.apply(t, reused).Err(); !errors.As(err, &re) {
+		t.Errorf("reused id: got %v, want ReusedError", err)
+	}
+}
+
+// Guards against an id that runs again after its record has expired, also
+// where the next leader's clock is behind.
+func TestExpiredOperation(t *testing.T) {
+	e := seeded(t)
+	w := e.write("/Zones/Lecco", 0, zoneText)
+	if err := e.apply(t, w).Err(); err != nil {
+		t.Fatal(err)
+	}
+	e.now = start.Add(OperationLifetime + time.Second)
+	d, _ := e.m.Get("/Zones/Lecco")
+	del := e.write("/Zones/Lecco", d.Revision, "")
+	del.Delete = true
+	if err := e.apply(t, del).Err(); err != nil {
+		t.Fatal(err)
+	}
+	for _, now := range []time.Time{e.now, start} {
+		e.now = now
+		var ee *ExpiredError
+		if err := e.apply(t, w).Err(); !errors.As(err, &ee) {
+			t.Errorf("retry at %v: got %v, want ExpiredError", now, err)
+		}
+	}
+	w.Operation = NewOperationID(e.now.Add(time.Hour), 1)
+	var oe *OperationError
+	if err := e.apply(t, w).Err(); !errors.As(err, &oe) {
+		t.Errorf("id from the future: got %v, want OperationError", err)
+	}
+}
+
+// Guards against a key that writes outside its subtree.
+func TestAccess(t *testing.T) {
+	e := seeded(t)
+	e.put(t, "/Access/nastrificio", 0, fmt.Sprintf("KeyHash = %q\nWrite = [\"/Teams/Nastrificio\"]\n", HashKey("k")))
+	tests := []struct {
+		path Path
+		key  string
+		code Code
+	}{
+		{"/Teams/Nastrificio/Listeners/A", "k", ""},
+		{"/Teams/Nastrificio/Listeners/B", "other", CodeForbidden},
+		{"/Teams/Nastrificio2/Listeners/B", "k", CodeForbidden},
+		{"/Access/nastrificio", "k", CodeForbidden},
+		{"/Teams/Nastrificio/Listeners/C", "", CodeForbidden},
+	}
+	for i, tt := range tests {
+		w := e.write(tt.path, 0, listenerText(1000+i))
+		w.Root = false
+		if tt.key != "" {
+			w.KeyHash = HashKey(tt.key)
+		}
+		if got := e.apply(t, w).Code; got != tt.code {
+			t.Errorf("%s with key %q: got code %q, want %q", tt.path, tt.key, got, tt.code)
+		}
+	}
+}
+
+// Guards against documents, subtrees and rates without a bound.
+func TestLimits(t *testing.T) {
+	e := seeded(t)
+	var le *LimitError
+	if err := e.apply(t, e.write("/Teams/A/Listeners/A", 0, strings.Repeat(" ", MaxDocumentSize+1))).Err(); !errors.As(err, &le) {
+		t.Errorf("large document: got %v, want LimitError", err)
+	}
+	limited := 0
+	for i := range WriteBurst + 10 {
+		r := e.apply(t, e.write(Path(fmt.Sprintf("/Teams/Nastrificio/Listeners/L%d", i)), 0, listenerText(2000+i)))
+		if errors.As(r.Err(), &le) {
+			limited++
+		}
+	}
+	if limited == 0 {
+		t.Error("a burst above the limit: got no LimitError, want some")
+	}
+	e.now = e.now.Add(time.Minute)
+	text := listenerText(9000) + "#" + strings.Repeat("x", MaxDocumentSize-300) + "\n"
+	var err error
+	for i := 0; err == nil && i < 2*MaxSubtreeSize/MaxDocumentSize; i++ {
+		e.now = e.now.Add(time.Second)
+		err = e.apply(t, e.write(Path(fmt.Sprintf("/Teams/Nastrificio/Listeners/S%d", i)), 0, strings.Replace(text, "9000", fmt.Sprint(9000+i), 1))).Err()
+	}
+	if !errors.As(err, &le) {
+		t.Errorf("large subtree: got %v, want LimitError", err)
+	}
+}
+
+// Guards against replicas that differ: after a restore from a snapshot, the
+// same commands must lead to the same bytes, and a store that follows by
+// deltas, some lost or late, must hold the same documents and never go back.
+func TestReplicasStayEqual(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, store := seededMachine(t), seededMachine(t), NewStore()
+		var deltas []*Delta
+		now := start
+		for i := range rapid.IntRange(1, 40).Draw(t, "writes") {
+			now = now.Add(time.Duration(rapid.Int64Range(-1e9, 1e12).Draw(t, "elapsed")))
+			w := randomWrite(t, a, i, now)
+			got, want := a.Apply(w.Encode(), now), b.Apply(w.Encode(), now)
+			if !bytes.Equal(got, want) {
+				t.Fatalf("result: got %x, want %x", got, want)
+			}
+			if rapid.IntRange(0, 4).Draw(t, "restore") == 0 {
+				restore(t, b)
+			}
+			deltas = append(deltas, a.Delta(fleet.Revision(rapid.Uint64Range(0, uint64(a.Revision())).Draw(t, "from"))))
+			d := deltas[rapid.IntRange(0, len(deltas)-1).Draw(t, "delta")]
+			before := store.Revision()
+			var re *RevisionError
+			if _, err := store.Apply(d); err != nil && !errors.As(err, &re) {
+				t.Fatalf("apply delta: got %v, want no error or RevisionError", err)
+			}
+			if store.Revision() < before {
+				t.Fatalf("revision: got %d, want at least %d", store.Revision(), before)
+			}
+		}
+		if _, err := store.Apply(a.Delta(store.Revision())); err != nil || store.Digest() != a.Digest() {
+			t.Fatalf("store: got digest %x, %v, want %x", store.Digest(), err, a.Digest())
+		}
+		peer := NewStore()
+		if _, err := peer.Apply(store.Delta(0)); err != nil || peer.Digest() != a.Digest() {
+			t.Fatalf("peer: got digest %x, %v, want %x", peer.Digest(), err, a.Digest())
+		}
+	})
+}
+
+func seededMachine(t *rapid.T) *Machine {
+	m := NewMachine()
+	for i, w := range []Write{{Path: "/Zones/Monza", Text: zoneText}, {Path: "/Teams/T/Services/Counter", Text: serviceText}} {
+		w.Operation, w.Root = NewOperationID(start, uint64(i)+1e6), true
+		if r, err := DecodeResult(m.Apply(w.Encode(), start)); err != nil || r.Err() != nil {
+			t.Fatalf("seed %s: got %v, %v, want no error", w.Path, err, r.Err())
+		}
+	}
+	return m
+}
+
+func randomWrite(t *rapid.T, m *Machine, i int, now time.Time) Write {
+	n := rapid.IntRange(0, 5).Draw(t, "name")
+	w := Write{Operation: NewOperationID(now, uint64(i)), Path: Path(fmt.Sprintf("/Teams/T/Listeners/L%d", n)), Text: listenerText(1 + n), Root: true}
+	if d, err := m.Get(w.Path); err == nil {
+		w.Expect = d.Revision
+		w.Delete = rapid.Bool().Draw(t, "delete")
+	}
+	return w
+}
+
+func restore(t *rapid.T, m *Machine) {
+	snap, err := m.Snapshot()
+	if err != nil {
+		t.Fatalf("snapshot: got %v, want no error", err)
+	}
+	if err := m.Restore(snap); err != nil {
+		t.Fatalf("restore: got %v, want no error", err)
+	}
+	again, err := m.Snapshot()
+	if err != nil || !bytes.Equal(snap, again) {
+		t.Fatalf("snapshot after restore differs: %v", err)
+	}
+}
+
+// Guards against a store that applies documents other than the sender's.
+func TestStoreRefusesWrongDigest(t *testing.T) {
+	e := seeded(t)
+	s := NewStore()
+	d := e.m.Delta(0)
+	d.Documents[0].Text += "\n"
+	var de *DigestError
+	if _, err := s.Apply(d); !errors.As(err, &de) || s.Revision() != 0 {
+		t.Errorf("got %v at revision %d, want DigestError at 0", err, s.Revision())
+	}
+	if _, err := s.Apply(e.m.Delta(0)); err != nil {
+		t.Errorf("got %v, want no error", err)
+	}
+	if got := s.Config().Listeners; len(got) != 1 || got[0].Kind.Name != "Order" {
+		t.Errorf("listeners: got %+v, want one of kind Order", got)
+	}
+}
+
+// Guards against a panic on garbage from the network.
+func FuzzDecode(f *testing.F) {
+	w := Write{Operation: "1-a", Path: "/Zones/Monza"}
+	f.Add(w.Encode())
+	f.Add((&Delta{Full: true}).Encode())
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m := NewMachine()
+		_ = m.Apply(b, start)
+		if err := m.Restore(b); err == nil && m.Revision() > 0 && len(b) == 0 {
+			t.Error("restored a revision from nothing")
+		}
+		if d, err := DecodeDelta(b); err == nil && d.Validate() != nil {
+			t.Error("decoded a delta that is not valid")
+		}
+	})
+}
--- /dev/null
+++ b/pkg/settings/tree.go
@@ -0,0 +1,209 @@
+package settings
+
+import (
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+type (
+	// Digest is an order-independent hash of all live documents.
+	Digest uint64
+
+	// Document is one accepted document; Deleted marks a tombstone.
+	Document struct {
+		Path     Path           `json:"Path" cbor:"1,keyasint"`
+		Revision fleet.Revision `json:"Revision" cbor:"2,keyasint"`
+		Text     string         `json:"Text" cbor:"3,keyasint"`
+		Deleted  bool           `json:"Deleted,omitempty" cbor:"4,keyasint,omitempty"`
+	}
+
+	// node is a document with its decoded content.
+	node struct {
+		Document
+		content content
+	}
+)
+
+// tree holds all documents of one revision. Its references always hold: a
+// listener's service and kind exist, and no two listeners share an address,
+// protocol and port.
+type tree struct {
+	revision  fleet.Revision
+	digest    Digest
+	nodes     map[Path]*node
+	listeners map[fleet.ListenerKey]Path
+	// users counts the listeners of each service.
+	users map[fleet.ServiceID]map[Path]bool
+	// services counts the services of each zone.
+	zoneUsers map[fleet.ZoneID]map[Path]bool
+	bytes     map[fleet.TeamName]int
+}
+
+func newTree() *tree {
+	return &tree{
+		nodes:     make(map[Path]*node),
+		listeners: make(map[fleet.ListenerKey]Path),
+		users:     make(map[fleet.ServiceID]map[Path]bool),
+		zoneUsers: make(map[fleet.ZoneID]map[Path]bool),
+		bytes:     make(map[fleet.TeamName]int),
+	}
+}
+
+// live returns the node of a path that is not deleted, or nil.
+func (t *tree) live(p Path) *node {
+	n := t.nodes[p]
+	if n == nil || n.Deleted {
+		return nil
+	}
+	return n
+}
+
+// paths returns the paths of all live documents below prefix, in order.
+func (t *tree) paths(prefix string) []Path {
+	var out []Path
+	for p, n := range t.nodes {
+		if !n.Deleted && p.Under(prefix) {
+			out = append(out, p)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// checkPut returns an InvalidError where the document would break a reference.
+func (t *tree) checkPut(p Path, c content) error {
+	r := &report{path: p}
+	switch c := c.(type) {
+	case *Listener:
+		t.checkListener(r, p, c)
+	case *Service:
+		t.checkService(r, p, c)
+	}
+	return r.err()
+}
+
+func (t *tree) checkListener(r *report, p Path, l *Listener) {
+	key := fleet.ListenerKey{Address: l.Address, Protocol: l.Protocol}
+	if other, ok := t.listeners[key]; ok && other != p {
+		r.add("Address", fmt.Sprintf("%s %s is taken by another listener", l.Protocol, l.Address))
+	}
+	n := t.live(servicePath(p.Team(), l.Service))
+	if n == nil {
+		r.add("Service", fmt.Sprintf("there is no service %q in the team", l.Service))
+		return
+	}
+	if n.content.(*Service).kind(l.Kind) == nil {
+		r.add("Kind", fmt.Sprintf("the service has no kind of work %q", l.Kind))
+	}
+}
+
+func (t *tree) checkService(r *report, p Path, s *Service) {
+	for i, zone := range s.Zones {
+		if t.live(Path("/Zones/"+string(zone))) == nil {
+			r.add(fmt.Sprintf("Zones[%d]", i), fmt.Sprintf("there is no zone %q", zone))
+		}
+	}
+	for user := range t.users[p.Service()] {
+		kind := t.nodes[user].content.(*Listener).Kind
+		if s.kind(kind) == nil {
+			r.add("Kinds", fmt.Sprintf("the kind of work %q is used by %s", kind, user))
+		}
+	}
+}
+
+// checkDelete returns an InvalidError where another document refers to p.
+func (t *tree) checkDelete(p Path) error {
+	r := &report{path: p}
+	switch p.Class() {
+	case ClassService:
+		for _, user := range slices.Sorted(maps.Keys(t.users[p.Service()])) {
+			r.add("", fmt.Sprintf("is used by %s", user))
+		}
+	case ClassZone:
+		for _, user := range slices.Sorted(maps.Keys(t.zoneUsers[fleet.ZoneID(p.Name())])) {
+			r.add("", fmt.Sprintf("is used by %s", user))
+		}
+	}
+	return r.err()
+}
+
+// set replaces the node of a path, keeping indexes, sizes and digest.
+func (t *tree) set(n *node) {
+	if old := t.nodes[n.Path]; old != nil {
+		t.index(old, false)
+	}
+	t.nodes[n.Path] = n
+	t.index(n, true)
+	t.revision = max(t.revision, n.Revision)
+}
+
+func (t *tree) index(n *node, present bool) {
+	if n.Deleted {
+		return
+	}
+	if present {
+		t.digest += n.digest()
+		t.bytes[n.Path.Team()] += len(n.Text)
+	} else {
+		t.digest -= n.digest()
+		t.bytes[n.Path.Team()] -= len(n.Text)
+	}
+	switch c := n.content.(type) {
+	case *Listener:
+		key := fleet.ListenerKey{Address: c.Address, Protocol: c.Protocol}
+		if present {
+			t.listeners[key] = n.Path
+		} else {
+			delete(t.listeners, key)
+		}
+		mark(t.users, serviceID(n.Path.Team(), c.Service), n.Path, present)
+	case *Service:
+		for _, zone := range c.Zones {
+			mark(t.zoneUsers, zone, n.Path, present)
+		}
+	}
+}
+
+func mark[K comparable](m map[K]map[Path]bool, key K, p Path, present bool) {
+	if !present {
+		delete(m[key], p)
+		if len(m[key]) == 0 {
+			delete(m, key)
+		}
+		return
+	}
+	if m[key] == nil {
+		m[key] = make(map[Path]bool)
+	}
+	m[key][p] = true
+}
+
+func (s *Service) kind(name fleet.KindName) *fleet.Kind {
+	for i := range s.Kinds {
+		if s.Kinds[i].Name == name {
+			return &s.Kinds[i]
+		}
+	}
+	return nil
+}
+
+func (d *Document) digest() Digest {
+	h := xxhash.New()
+	// The hash's Write never fails.
+	_, _ = h.WriteString(string(d.Path))
+	var buf [9]byte
+	binary.BigEndian.PutUint64(buf[1:], uint64(d.Revision))
+	_, _ = h.Write(buf[:])
+	_, _ = h.WriteString(d.Text)
+	return Digest(h.Sum64())
+}
+
+// compareDocuments orders by path.
+func compareDocuments(a, b Document) int { return strings.Compare(string(a.Path), string(b.Path)) }
