--- /dev/null
+++ b/internal/control/api.go
@@ -0,0 +1,311 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/settings"
+)
+
+// Paths of the operators' HTTP interface.
+const (
+	// DocumentsPath precedes the path of a document.
+	DocumentsPath = "/Documents"
+	// HistoryPath precedes the path of a document.
+	HistoryPath = "/History"
+	// StatusPath serves the replica's Status.
+	StatusPath = "/Status"
+)
+
+// Header names of the operators' HTTP interface.
+const (
+	// RevisionHeader carries a document's revision beside a TOML body.
+	RevisionHeader = "Bamboowalk-Revision"
+	typeJSON       = "application/json"
+	typeTOML       = "application/toml"
+)
+
+// maxBody leaves room for the JSON encoding of the largest document.
+const maxBody = 4 * settings.MaxDocumentSize
+
+type (
+	// Log is what the interface needs of the replicated log.
+	Log interface {
+		// Write runs a write and returns its result; it returns a
+		// NotLeaderError, or an UnavailableError where the outcome is unknown.
+		Write(ctx context.Context, w *settings.Write) (*settings.Result, error)
+		// Read calls f once the machine is known to be current.
+		Read(ctx context.Context, f func(m *settings.Machine)) error
+		// Status returns what the replica knows of itself, current or not.
+		Status() Status
+	}
+
+	// Status is what a replica knows of itself.
+	Status struct {
+		ID       fleet.VMID     `json:"ID"`
+		Role     string         `json:"Role"`
+		Term     uint64         `json:"Term"`
+		Leader   fleet.VMID     `json:"Leader"`
+		Commit   uint64         `json:"Commit"`
+		Applied  uint64         `json:"Applied"`
+		Revision fleet.Revision `json:"Revision"`
+	}
+
+	// Body is the JSON body of a write.
+	Body struct {
+		Expect    fleet.Revision       `json:"Expect"`
+		Operation settings.OperationID `json:"Operation"`
+		Text      string               `json:"Text"`
+	}
+
+	// Failure is the JSON body of an error; Result holds its typed form.
+	Failure struct {
+		Error  string          `json:"Error"`
+		Result settings.Result `json:"Result"`
+		Leader string          `json:"Leader,omitempty"`
+	}
+
+	// NotLeaderError reports that another replica takes writes and reads.
+	NotLeaderError struct {
+		// Leader is the base URL of the leader, or "" where it is unknown.
+		Leader string
+	}
+
+	// UnavailableError reports that no majority answered in time; the outcome
+	// of a write is unknown, and its operation id makes a retry safe.
+	UnavailableError struct {
+		Err error
+	}
+
+	// RequestError reports a request that can't be understood.
+	RequestError struct {
+		Reason string
+		Err    error
+	}
+)
+
+// Error names the leader.
+func (e *NotLeaderError) Error() string {
+	if e.Leader == "" {
+		return "this replica is not the leader, and none is known"
+	}
+	return "this replica is not the leader; it is " + e.Leader
+}
+
+// Error says that the outcome is unknown.
+func (e *UnavailableError) Error() string {
+	return "no majority of the replicas answered in time; repeat with the same operation id"
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Err }
+
+// Error names the reason.
+func (e *RequestError) Error() string {
+	if e.Err != nil {
+		return e.Reason + ": " + e.Err.Error()
+	}
+	return e.Reason
+}
+
+// Unwrap returns the cause, if any.
+func (e *RequestError) Unwrap() error { return e.Err }
+
+// API serves the operators' HTTP interface of one replica. Exported fields
+// are set before first use.
+type API struct {
+	Log Log
+	// RootKeyHash is the SHA-256 hash, in hexadecimal, of the key that may
+	// write everywhere.
+	RootKeyHash string
+}
+
+// Handler returns the routes.
+func (a *API) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+DocumentsPath+"/{path...}", a.get)
+	mux.HandleFunc("GET "+DocumentsPath, a.list)
+	mux.HandleFunc("PUT "+DocumentsPath+"/{path...}", a.write)
+	mux.HandleFunc("DELETE "+DocumentsPath+"/{path...}", a.write)
+	mux.HandleFunc("GET "+HistoryPath+"/{path...}", a.history)
+	mux.HandleFunc("GET "+StatusPath, a.status)
+	return mux
+}
+
+func (a *API) get(w http.ResponseWriter, r *http.Request) {
+	p, err := settings.ParsePath("/" + r.PathValue("path"))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	var doc settings.Document
+	var notFound error
+	err = a.Log.Read(r.Context(), func(m *settings.Machine) { doc, notFound = m.Get(p) })
+	if err := errors.Join(err, notFound); err != nil {
+		writeError(w, err)
+		return
+	}
+	if r.Header.Get("Accept") != typeTOML {
+		writeJSON(w, http.StatusOK, doc)
+		return
+	}
+	w.Header().Set("Content-Type", typeTOML)
+	w.Header().Set(RevisionHeader, strconv.FormatUint(uint64(doc.Revision), 10))
+	// The status line is out already, so a failed write has no one to tell.
+	_, _ = io.WriteString(w, doc.Text)
+}
+
+func (a *API) list(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get("Prefix")
+	docs := []settings.Document{}
+	err := a.Log.Read(r.Context(), func(m *settings.Machine) { docs = append(docs, m.List(prefix)...) })
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, docs)
+}
+
+func (a *API) history(w http.ResponseWriter, r *http.Request) {
+	p, err := settings.ParsePath("/" + r.PathValue("path"))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	var versions []settings.Version
+	var notFound error
+	err = a.Log.Read(r.Context(), func(m *settings.Machine) { versions, notFound = m.History(p) })
+	if err := errors.Join(err, notFound); err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, versions)
+}
+
+func (a *API) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, a.Log.Status())
+}
+
+func (a *API) write(w http.ResponseWriter, r *http.Request) {
+	cmd, err := a.command(w, r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	result, err := a.Log.Write(r.Context(), cmd)
+	if err == nil {
+		err = result.Err()
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, result)
+}
+
+// command reads a write from a request: JSON with its own fields, or TOML
+// with the query parameters Expect and Operation.
+func (a *API) command(w http.ResponseWriter, r *http.Request) (*settings.Write, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		return nil, &RequestError{Reason: "the body can't be read", Err: err}
+	}
+	cmd := &settings.Write{
+		Path:   settings.Path("/" + r.PathValue("path")),
+		Text:   string(body),
+		Delete: r.Method == http.MethodDelete,
+	}
+	mediaType, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err == nil && mediaType == typeJSON {
+		var b Body
+		if err := json.Unmarshal(body, &b); err != nil {
+			return nil, &RequestError{Reason: "the body is no JSON write", Err: err}
+		}
+		cmd.Expect, cmd.Operation, cmd.Text = b.Expect, b.Operation, b.Text
+	} else if err := parseQuery(r, cmd); err != nil {
+		return nil, err
+	}
+	if cmd.Delete {
+		cmd.Text = ""
+	}
+	a.authenticate(r, cmd)
+	return cmd, cmd.Validate()
+}
+
+func parseQuery(r *http.Request, cmd *settings.Write) error {
+	q := r.URL.Query()
+	expect, err := strconv.ParseUint(q.Get("Expect"), 10, 64)
+	if err != nil {
+		return &RequestError{Reason: "the parameter Expect must be the revision that the write was made against", Err: err}
+	}
+	cmd.Expect = fleet.Revision(expect)
+	cmd.Operation = settings.OperationID(q.Get("Operation"))
+	return nil
+}
+
+// authenticate puts the hash of the request's key into the command.
+func (a *API) authenticate(r *http.Request, cmd *settings.Write) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return
+	}
+	cmd.KeyHash = settings.HashKey(key)
+	cmd.Root = a.RootKeyHash != "" && strings.EqualFold(cmd.KeyHash, a.RootKeyHash)
+}
+
+// statusOf maps the type of an error to an HTTP status.
+func statusOf(err error) int {
+	var (
+		conflict    *settings.ConflictError
+		expired     *settings.ExpiredError
+		reused      *settings.ReusedError
+		forbidden   *settings.ForbiddenError
+		notFound    *settings.NotFoundError
+		limit       *settings.LimitError
+		invalid     *settings.InvalidError
+		notLeader   *NotLeaderError
+		unavailable *UnavailableError
+	)
+	switch {
+	case errors.As(err, &conflict), errors.As(err, &reused):
+		return http.StatusConflict
+	case errors.As(err, &expired):
+		return http.StatusGone
+	case errors.As(err, &forbidden):
+		return http.StatusForbidden
+	case errors.As(err, &notFound):
+		return http.StatusNotFound
+	case errors.As(err, &limit):
+		return http.StatusTooManyRequests
+	case errors.As(err, &invalid):
+		return http.StatusUnprocessableEntity
+	case errors.As(err, &notLeader):
+		return http.StatusMisdirectedRequest
+	case errors.As(err, &unavailable):
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadRequest
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	f := Failure{Error: err.Error(), Result: settings.ResultOf(err)}
+	var notLeader *NotLeaderError
+	if errors.As(err, &notLeader) {
+		f.Leader = notLeader.Leader
+	}
+	writeJSON(w, statusOf(err), f)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", typeJSON)
+	w.WriteHeader(status)
+	// The status line is out already, so a failed write has no one to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,218 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"bamboowalk.org/bamboowalk/internal/control"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/settings"
+)
+
+const (
+	maxResponse    = 64 << 20
+	attemptTimeout = 3 * time.Second
+)
+
+type (
+	// StatusError reports an HTTP status whose body has no typed error.
+	StatusError struct {
+		Server string
+		Status int
+	}
+
+	// AttemptsError reports that no server answered; Err is the last failure.
+	AttemptsError struct {
+		Err error
+	}
+)
+
+// Error names the server and the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s: status %d %s", e.Server, e.Status, http.StatusText(e.Status))
+}
+
+// Error names the last failure.
+func (e *AttemptsError) Error() string { return fmt.Sprintf("no control replica answered: %v", e.Err) }
+
+// Unwrap returns the last failure.
+func (e *AttemptsError) Unwrap() error { return e.Err }
+
+// Client talks to the control replicas and finds the leader among them.
+// Exported fields are set before first use.
+type Client struct {
+	// Servers are the base URLs of the replicas.
+	Servers []string
+	Key     string
+	HTTP    *http.Client
+	// Timeout bounds one call with all its attempts.
+	Timeout time.Duration
+
+	leader string
+}
+
+// Get returns a document; it returns a settings.NotFoundError.
+func (c *Client) Get(ctx context.Context, p settings.Path) (settings.Document, error) {
+	var doc settings.Document
+	return doc, c.call(ctx, http.MethodGet, control.DocumentsPath+string(p), nil, &doc)
+}
+
+// List returns the documents below a prefix.
+func (c *Client) List(ctx context.Context, prefix string) ([]settings.Document, error) {
+	var docs []settings.Document
+	return docs, c.call(ctx, http.MethodGet, control.DocumentsPath+"?Prefix="+url.QueryEscape(prefix), nil, &docs)
+}
+
+// History returns the kept versions of a document, oldest first.
+func (c *Client) History(ctx context.Context, p settings.Path) ([]settings.Version, error) {
+	var versions []settings.Version
+	return versions, c.call(ctx, http.MethodGet, control.HistoryPath+string(p), nil, &versions)
+}
+
+// Put writes a document against a revision. All attempts carry the same
+// operation id, so that the write happens at most once.
+func (c *Client) Put(ctx context.Context, p settings.Path, expect fleet.Revision, text string) (fleet.Revision, error) {
+	return c.write(ctx, http.MethodPut, p, control.Body{Expect: expect, Text: text})
+}
+
+// Delete removes a document at a revision.
+func (c *Client) Delete(ctx context.Context, p settings.Path, expect fleet.Revision) (fleet.Revision, error) {
+	return c.write(ctx, http.MethodDelete, p, control.Body{Expect: expect})
+}
+
+func (c *Client) write(ctx context.Context, method string, p settings.Path, body control.Body) (fleet.Revision, error) {
+	body.Operation = settings.NewOperationID(time.Now(), rand.Uint64())
+	var result settings.Result
+	err := c.call(ctx, method, control.DocumentsPath+string(p), &body, &result)
+	return result.Revision, err
+}
+
+// call tries the servers in turn until one answers as leader.
+func (c *Client) call(ctx context.Context, method, path string, body *control.Body, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	order := c.order()
+	attempt := 0
+	_, err := backoff.Retry(ctx, func() (struct{}, error) {
+		server := order[attempt%len(order)]
+		if c.leader != "" {
+			server = c.leader
+		}
+		attempt++
+		return struct{}{}, c.attempt(ctx, server, method, path, body, out)
+	}, backoff.WithBackOff(newBackOff()), backoff.WithMaxElapsedTime(c.Timeout))
+	var permanent *backoff.PermanentError
+	if err != nil && !errors.As(err, &permanent) && !isAnswer(err) {
+		return &AttemptsError{Err: err}
+	}
+	return err
+}
+
+func newBackOff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = 20 * time.Millisecond
+	b.MaxInterval = 500 * time.Millisecond
+	return b
+}
+
+func (c *Client) order() []string {
+	order := slices.Clone(c.Servers)
+	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	return order
+}
+
+func (c *Client) attempt(ctx context.Context, server, method, path string, body *control.Body, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	resp, err := c.send(ctx, server, method, path, body)
+	if err != nil {
+		c.leader = ""
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse))
+	if err != nil {
+		c.leader = ""
+		return fmt.Errorf("read the answer of %s: %w", server, err)
+	}
+	if resp.StatusCode == http.StatusOK {
+		if err := json.Unmarshal(data, out); err != nil {
+			return backoff.Permanent(fmt.Errorf("answer of %s: %w", server, err))
+		}
+		return nil
+	}
+	return c.failure(server, resp.StatusCode, data)
+}
+
+func (c *Client) send(ctx context.Context, server, method, path string, body *control.Body) (*http.Response, error) {
+	var payload io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, backoff.Permanent(fmt.Errorf("encode the write: %w", err))
+		}
+		payload = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(server, "/")+path, payload)
+	if err != nil {
+		return nil, backoff.Permanent(fmt.Errorf("request to %s: %w", server, err))
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if c.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Key)
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("request to %s: %w", server, err)
+	}
+	return resp, nil
+}
+
+// failure turns an error response into its typed error; it is permanent
+// unless another server or a later attempt can help.
+func (c *Client) failure(server string, status int, data []byte) error {
+	var f control.Failure
+	if err := json.Unmarshal(data, &f); err != nil {
+		return &StatusError{Server: server, Status: status}
+	}
+	switch status {
+	case http.StatusMisdirectedRequest:
+		c.leader = f.Leader
+		return &control.NotLeaderError{Leader: f.Leader}
+	case http.StatusServiceUnavailable:
+		c.leader = ""
+		return &control.UnavailableError{Err: &StatusError{Server: server, Status: status}}
+	}
+	if err := f.Result.Err(); err != nil {
+		return backoff.Permanent(err)
+	}
+	return backoff.Permanent(&StatusError{Server: server, Status: status})
+}
+
+// isAnswer reports whether err is a typed answer of a replica.
+func isAnswer(err error) bool {
+	var (
+		notLeader   *control.NotLeaderError
+		unavailable *control.UnavailableError
+		other       *StatusError
+	)
+	if errors.As(err, &notLeader) || errors.As(err, &unavailable) || errors.As(err, &other) {
+		return false
+	}
+	r := settings.ResultOf(err)
+	return r.Code != settings.CodeOther
+}
--- a/pkg/settings/command.go
+++ b/pkg/settings/command.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -158,32 +159,44 @@
 	case CodeOperation:
 		return &OperationError{Operation: string(r.Operation), Reason: r.Reason}
 	}
-	return &DecodeError{Type: "Result", Err: &fleet.UnknownError{Type: "code", Name: string(r.Code)}}
+	return &OtherError{Code: r.Code, Reason: r.Reason}
 }
 
-// resultOf takes a typed error apart.
-func resultOf(err error) *Result {
-	switch e := err.(type) {
-	case *ConflictError:
-		return &Result{Code: CodeConflict, Path: e.Path, Expect: e.Expect, Current: e.Current}
-	case *ExpiredError:
-		return &Result{Code: CodeExpired, Operation: e.Operation}
-	case *ReusedError:
-		return &Result{Code: CodeReused, Operation: e.Operation}
-	case *ForbiddenError:
-		return &Result{Code: CodeForbidden, Path: e.Path}
-	case *InvalidError:
-		return &Result{Code: CodeInvalid, Faults: e.Faults}
-	case *LimitError:
-		return &Result{Code: CodeLimit, Limit: e.Limit, Value: e.Value, Max: e.Max}
-	case *NotFoundError:
-		return &Result{Code: CodeNotFound, Path: e.Path}
-	case *PathError:
-		return &Result{Code: CodePath, Path: Path(e.Path), Reason: e.Reason}
-	case *OperationError:
-		return &Result{Code: CodeOperation, Operation: OperationID(e.Operation), Reason: e.Reason}
+// ResultOf takes a typed error apart; Err of the result puts it together
+// again. An error of another package has the code "Other".
+func ResultOf(err error) Result {
+	var (
+		conflict  *ConflictError
+		expired   *ExpiredError
+		reused    *ReusedError
+		forbidden *ForbiddenError
+		invalid   *InvalidError
+		limit     *LimitError
+		notFound  *NotFoundError
+		path      *PathError
+		operation *OperationError
+	)
+	switch {
+	case errors.As(err, &conflict):
+		return Result{Code: CodeConflict, Path: conflict.Path, Expect: conflict.Expect, Current: conflict.Current}
+	case errors.As(err, &expired):
+		return Result{Code: CodeExpired, Operation: expired.Operation}
+	case errors.As(err, &reused):
+		return Result{Code: CodeReused, Operation: reused.Operation}
+	case errors.As(err, &forbidden):
+		return Result{Code: CodeForbidden, Path: forbidden.Path}
+	case errors.As(err, &invalid):
+		return Result{Code: CodeInvalid, Faults: invalid.Faults}
+	case errors.As(err, &limit):
+		return Result{Code: CodeLimit, Limit: limit.Limit, Value: limit.Value, Max: limit.Max}
+	case errors.As(err, &notFound):
+		return Result{Code: CodeNotFound, Path: notFound.Path}
+	case errors.As(err, &path):
+		return Result{Code: CodePath, Path: Path(path.Path), Reason: path.Reason}
+	case errors.As(err, &operation):
+		return Result{Code: CodeOperation, Operation: OperationID(operation.Operation), Reason: operation.Reason}
 	}
-	return &Result{Code: CodeInvalid, Faults: []Fault{{Reason: err.Error()}}}
+	return Result{Code: CodeOther, Reason: err.Error()}
 }
 
 // encoding is deterministic and keeps times to the nanosecond, so that a
--- a/pkg/settings/error.go
+++ b/pkg/settings/error.go
@@ -18,6 +18,7 @@
 	CodeNotFound  Code = "NotFound"
 	CodePath      Code = "BadPath"
 	CodeOperation Code = "BadOperation"
+	CodeOther     Code = "Other"
 )
 
 type (
@@ -77,6 +78,12 @@
 		Reason string
 	}
 
+	// OtherError stands for an error whose type is not known here.
+	OtherError struct {
+		Code   Code
+		Reason string
+	}
+
 	// OperationError reports an operation id that does not parse or lies in
 	// the future.
 	OperationError struct {
@@ -131,6 +138,9 @@
 // Error names the path and the reason.
 func (e *PathError) Error() string { return fmt.Sprintf("path %q: %s", e.Path, e.Reason) }
 
+// Error names the code and the reason.
+func (e *OtherError) Error() string { return fmt.Sprintf("%s: %s", e.Code, e.Reason) }
+
 // Error names the operation and the reason.
 func (e *OperationError) Error() string {
 	return fmt.Sprintf("operation id %q: %s", e.Operation, e.Reason)
--- a/pkg/settings/machine.go
+++ b/pkg/settings/machine.go
@@ -78,7 +78,8 @@
 func (m *Machine) Apply(command []byte, now time.Time) []byte {
 	w, err := DecodeWrite(command)
 	if err != nil {
-		return resultOf(err).Encode()
+		r := ResultOf(err)
+		return r.Encode()
 	}
 	m.expire(now)
 	return m.apply(w, now).Encode()
@@ -88,19 +89,19 @@
 	request := w.hash()
 	if rec := m.records[w.Operation]; rec != nil {
 		if rec.Request != request {
-			return resultOf(&ReusedError{Operation: w.Operation})
+			return failure(&ReusedError{Operation: w.Operation})
 		}
 		return &rec.Result
 	}
 	issued, err := m.checkOperation(w.Operation, now)
 	if err != nil {
-		return resultOf(err)
+		return failure(err)
 	}
 	if !m.allowed(w) {
-		return resultOf(&ForbiddenError{Path: w.Path})
+		return failure(&ForbiddenError{Path: w.Path})
 	}
 	if err := m.bucket(w.Path).take(now); err != nil {
-		return resultOf(err)
+		return failure(err)
 	}
 	r := m.write(w, now)
 	m.records[w.Operation] = &record{Operation: w.Operation, Issued: issued, Request: request, Result: *r}
@@ -147,11 +148,11 @@
 		current = n.Revision
 	}
 	if w.Expect != current {
-		return resultOf(&ConflictError{Path: w.Path, Expect: w.Expect, Current: current})
+		return failure(&ConflictError{Path: w.Path, Expect: w.Expect, Current: current})
 	}
 	n, err := m.next(w)
 	if err != nil {
-		return resultOf(err)
+		return failure(err)
 	}
 	m.tree.set(n)
 	m.remember(n, now)
@@ -353,6 +354,11 @@
 	return out
 }
 
+func failure(err error) *Result {
+	r := ResultOf(err)
+	return &r
+}
+
 // hash identifies what a write asks for, without who asks.
 func (w *Write) hash() uint64 {
 	bare := *w
