--- /dev/null
+++ b/pkg/settings/bench_test.go
@@ -0,0 +1,115 @@
+package settings
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// sizes are numbers of listeners; 4,300 is the design scale.
+var sizes = []int{500, 1500, 4300}
+
+// largeMachine holds a service for every 20 listeners.
+func largeMachine(b *testing.B, listeners int) *Machine {
+	e := newEditor()
+	e.put(b, "/Zones/Monza", 0, zoneText)
+	for i := range listeners {
+		e.now = e.now.Add(time.Second)
+		team := fmt.Sprintf("T%d", i/20)
+		if i%20 == 0 {
+			e.put(b, Path("/Teams/"+team+"/Services/Counter"), 0, serviceText)
+		}
+		text := fmt.Sprintf("Address = \"10.%d.%d.1:443\"\nProtocol = \"tcp\"\nService = \"Counter\"\nKind = \"Order\"\nAnswers = \"Direct\"\n", i/250, i%250)
+		e.put(b, Path(fmt.Sprintf("/Teams/%s/Listeners/L%d", team, i)), 0, text)
+	}
+	return e.m
+}
+
+// BenchmarkWrite measures the processor time of one accepted write.
+func BenchmarkWrite(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("Listeners=%d", n), func(b *testing.B) {
+			m := largeMachine(b, n)
+			now := start.Add(48 * time.Hour)
+			d, err := m.Get("/Zones/Monza")
+			if err != nil {
+				b.Fatal(err)
+			}
+			revision, i := d.Revision, uint64(0)
+			for b.Loop() {
+				now = now.Add(time.Second)
+				i++
+				w := Write{Operation: NewOperationID(now, i), Path: d.Path, Expect: revision, Text: d.Text, Root: true}
+				r, err := DecodeResult(m.Apply(w.Encode(), now))
+				if err != nil || r.Err() != nil {
+					b.Fatal(err, r.Err())
+				}
+				revision = r.Revision
+			}
+		})
+	}
+}
+
+// BenchmarkStoreApply measures the processor time of one change at an entry
+// VM, and the bytes of a full copy in memory and on the wire.
+func BenchmarkStoreApply(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("Listeners=%d", n), func(b *testing.B) {
+			m := largeMachine(b, n)
+			full := m.Delta(0)
+			before := heapBytes()
+			s := NewStore()
+			if _, err := s.Apply(full); err != nil {
+				b.Fatal(err)
+			}
+			held := heapBytes() - before
+			d, err := m.Get("/Zones/Monza")
+			if err != nil {
+				b.Fatal(err)
+			}
+			revision, digest := m.Revision(), m.Digest()
+			for b.Loop() {
+				revision++
+				digest -= d.digest()
+				d.Revision = revision
+				digest += d.digest()
+				if _, err := s.Apply(&Delta{From: revision - 1, To: revision, Documents: []Document{d}, Digest: digest}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(held)/1e6, "MB-held")
+			b.ReportMetric(float64(len(full.Encode()))/1e6, "MB-full-delta")
+			runtime.KeepAlive(s)
+		})
+	}
+}
+
+// BenchmarkSnapshot measures the size and the time of a replica's snapshot.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("Listeners=%d", n), func(b *testing.B) {
+			m := largeMachine(b, n)
+			var snap []byte
+			for b.Loop() {
+				var err error
+				if snap, err = m.Snapshot(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(snap))/1e6, "MB-snapshot")
+			began := time.Now()
+			if err := NewMachine().Restore(snap); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(time.Since(began).Milliseconds()), "ms-restore")
+		})
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	return int64(ms.HeapAlloc)
+}
