--- /dev/null
+++ b/pkg/replica/snapshot.go
@@ -0,0 +1,219 @@
+package replica
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// snapshotBlock is the size of the checksummed blocks of a snapshot file, so
+// that a CorruptError points near the damage.
+const snapshotBlock = 1 << 20
+
+type (
+	// snapshotMeta is the first frame of a snapshot file; the frames behind it
+	// hold the state machine's bytes.
+	snapshotMeta struct {
+		At     Position `cbor:"1,keyasint"`
+		Config Config   `cbor:"2,keyasint"`
+		Stamp  int64    `cbor:"3,keyasint"`
+		Size   uint64   `cbor:"4,keyasint"`
+	}
+
+	snapshot struct {
+		snapshotMeta
+		state []byte
+	}
+)
+
+func encodeSnapshot(s *snapshot) ([]byte, error) {
+	s.Size = uint64(len(s.state))
+	meta, err := cbor.Marshal(&s.snapshotMeta)
+	if err != nil {
+		return nil, &DecodeError{What: "snapshot", Err: err}
+	}
+	blocks := len(s.state)/snapshotBlock + 2
+	buf := make([]byte, 0, len(s.state)+len(meta)+blocks*frameHeader)
+	buf = appendFrame(buf, 1, meta)
+	seq := uint64(2)
+	for rest := s.state; len(rest) > 0; seq++ {
+		n := min(len(rest), snapshotBlock)
+		buf = appendFrame(buf, seq, rest[:n])
+		rest = rest[n:]
+	}
+	return buf, nil
+}
+
+// decodeSnapshot returns a CorruptError for any damage: a snapshot gets its
+// name only once it is durable, so that a torn one does not exist.
+func decodeSnapshot(name string, data []byte) (*snapshot, error) {
+	s := &snapshot{}
+	off := 0
+	corrupt := func(reason string) error {
+		return &CorruptError{File: name, Offset: int64(off), Reason: reason}
+	}
+	for seq := uint64(1); off < len(data); seq++ {
+		got, payload, size := readFrame(data[off:])
+		if size == 0 || got != seq {
+			return nil, corrupt("checksum mismatch")
+		}
+		if seq > 1 {
+			s.state = append(s.state, payload...)
+			off += size
+			continue
+		}
+		if err := decMode.Unmarshal(payload, &s.snapshotMeta); err != nil {
+			return nil, corrupt((&DecodeError{What: "snapshot", Err: err}).Error())
+		}
+		if err := s.Config.Validate(); err != nil {
+			return nil, corrupt(err.Error())
+		}
+		off += size
+	}
+	if off == 0 || uint64(len(s.state)) != s.Size {
+		return nil, corrupt(fmt.Sprintf("snapshot has %d bytes of state, want %d", len(s.state), s.Size))
+	}
+	return s, nil
+}
+
+// storeSnapshot makes an encoded snapshot durable and removes older ones.
+func storeSnapshot(fs FS, at Index, data []byte) error {
+	f, err := replaceFile(fs, fileName(snapshotPrefix, uint64(at)), data)
+	if err != nil {
+		return err
+	}
+	f.Close()
+	return removeOld(fs, snapshotPrefix, uint64(at))
+}
+
+// readSnapshot returns the newest snapshot and its encoding, or nil if there
+// is none.
+func readSnapshot(fs FS) (*snapshot, []byte, error) {
+	n, err := newest(fs, snapshotPrefix)
+	if err != nil || n == 0 {
+		return nil, nil, err
+	}
+	name := fileName(snapshotPrefix, n)
+	data, err := fs.ReadFile(name)
+	if err != nil {
+		return nil, nil, &DiskError{Op: "read", File: name, Err: err}
+	}
+	s, err := decodeSnapshot(name, data)
+	if err == nil && uint64(s.At.Index) != n {
+		err = &CorruptError{File: name, Reason: fmt.Sprintf("snapshot is of entry %d", s.At.Index)}
+	}
+	return s, data, err
+}
+
+// Bootstrap writes the first snapshot of a new cluster with the given voters
+// into an empty data directory. An operator calls it once in the life of a
+// cluster, on each of the initial replicas with the same members: a replica
+// that lost its disk must start without it, since it would otherwise vote as
+// if it still had its log. It returns a NotEmptyError for a directory that
+// holds a log.
+func Bootstrap(fs FS, self Identity, members []Member) error {
+	n, err := newest(fs, walPrefix)
+	if err != nil {
+		return err
+	}
+	if n > 0 {
+		return &NotEmptyError{File: fileName(walPrefix, n)}
+	}
+	s := &snapshot{snapshotMeta: snapshotMeta{At: Position{Index: 1, Term: 1}, Config: Config{Members: members}}}
+	if err := s.Config.Validate(); err != nil {
+		return err
+	}
+	if m := s.Config.find(self.VM); m == nil || m.Identity != self {
+		return &ChangeError{VM: self.VM, Reason: "the first members do not contain this replica"}
+	}
+	data, err := encodeSnapshot(s)
+	if err != nil {
+		return err
+	}
+	if err := storeSnapshot(fs, s.At.Index, data); err != nil {
+		return err
+	}
+	w := &wal{fs: fs, stats: &Stats{}}
+	if err := w.rewrite(self, s.At, hardState{Term: 1}, nil); err != nil {
+		return err
+	}
+	return w.file.Close()
+}
+
+// takeSnapshot stores the applied state and compacts the log; it keeps some
+// entries for followers that are a little behind.
+func (r *Replica) takeSnapshot() error {
+	state, err := r.o.Machine.Snapshot()
+	if err != nil {
+		return &DiskError{Op: "snapshot", File: "state machine", Err: err}
+	}
+	at := Position{Index: r.applied, Term: r.termAt(r.applied)}
+	s := &snapshot{state: state}
+	s.snapshotMeta = snapshotMeta{At: at, Config: r.configAt(at.Index), Stamp: r.appliedStamp}
+	data, err := encodeSnapshot(s)
+	if err != nil {
+		return err
+	}
+	if err := storeSnapshot(r.o.FS, at.Index, data); err != nil {
+		return err
+	}
+	r.snap = s.snapshotMeta
+	r.bytesSinceSnapshot = 0
+	r.stats.Snapshots++
+	r.stats.SnapshotBytes = uint64(len(data))
+	if keep := r.keepFrom(at.Index); keep > r.base.Index {
+		r.compact(keep)
+	}
+	return r.wal.rewrite(r.self, r.base, r.hard, r.log)
+}
+
+// keepFrom returns the last entry that a snapshot at index allows to drop.
+// While a snapshot is sent, the entries behind it are kept up to a bound, since
+// the receiver would otherwise need another snapshot right after it.
+func (r *Replica) keepFrom(at Index) Index {
+	keep := Index(r.o.KeepEntries)
+	from := at - min(at, keep)
+	for _, p := range r.progress {
+		if p.transfer != nil {
+			from = min(from, p.transfer.at.Index)
+		}
+	}
+	return max(from, at-min(at, 64*keep))
+}
+
+// compact drops the entries up to and including index.
+func (r *Replica) compact(index Index) {
+	base := Position{Index: index, Term: r.termAt(index)}
+	r.log = append([]Entry(nil), r.log[index-r.base.Index:]...)
+	r.base = base
+	for len(r.configs) > 1 && r.configs[1].index <= r.snap.At.Index {
+		r.configs = r.configs[1:]
+	}
+}
+
+// install replaces log and state by a received snapshot. Entries behind the
+// snapshot are kept only where the log agrees with it.
+func (r *Replica) install(s *snapshot, data []byte) error {
+	if err := storeSnapshot(r.o.FS, s.At.Index, data); err != nil {
+		return err
+	}
+	var rest []Entry
+	if s.At.Index <= r.lastIndex() && r.termAt(s.At.Index) == s.At.Term {
+		rest = append(rest, r.log[s.At.Index-r.base.Index:]...)
+	}
+	r.log, r.base, r.snap = rest, s.At, s.snapshotMeta
+	if err := r.wal.rewrite(r.self, r.base, r.hard, r.log); err != nil {
+		return err
+	}
+	if err := r.o.Machine.Restore(s.state); err != nil {
+		return &DiskError{Op: "restore", File: fileName(snapshotPrefix, uint64(s.At.Index)), Err: err}
+	}
+	r.commit, r.applied, r.appliedStamp = s.At.Index, s.At.Index, s.Stamp
+	r.bytesSinceSnapshot = 0
+	r.stats.Installed++
+	r.indexConfigs()
+	return nil
+}
+
+func stampTime(ns int64) time.Time { return time.Unix(0, ns).UTC() }
