Add the control daemon and the control socket between processes

Cause: the replicated log and the settings need a process, and entry VMs need a way to get the settings from it.

Change: internal/control runs one replica in one goroutine with group commit, serves operators, metrics, time line and pulls; internal/peer carries control frames with a clock stamp over UDP and pulls over net/rpc; internal/settingsfile reports every fault of a settings file with its key. Bootstrap is a flag of its own, because a replica that lost its disk and bootstrapped again would have forgotten what it acknowledged.

--- /dev/null
+++ b/internal/control/daemon.go
@@ -0,0 +1,268 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"bamboowalk.org/bamboowalk/internal/peer"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/replica"
+	"bamboowalk.org/bamboowalk/pkg/settings"
+	"bamboowalk.org/bamboowalk/pkg/spread"
+	"bamboowalk.org/bamboowalk/pkg/timeline"
+)
+
+const (
+	// bootIncarnation is that of the first replicas, which all must agree on.
+	bootIncarnation = 1
+	folderMode      = 0o700
+	stopTimeout     = time.Second
+)
+
+type (
+	// Sockets are the open ports of a control VM.
+	Sockets struct {
+		HTTP        net.Listener
+		Replication net.Listener
+		Control     *net.UDPConn
+		Pulls       net.Listener
+	}
+
+	// OpenError reports a port or folder that can't be opened.
+	OpenError struct {
+		What string
+		Err  error
+	}
+)
+
+// Error names what can't be opened.
+func (e *OpenError) Error() string { return fmt.Sprintf("open %s: %v", e.What, e.Err) }
+
+// Unwrap returns the cause.
+func (e *OpenError) Unwrap() error { return e.Err }
+
+// Daemon is one control VM. Exported fields are set before Run.
+type Daemon struct {
+	Settings *Settings
+	// Sockets are opened at the addresses of the settings where nil.
+	Sockets *Sockets
+	// Bootstrap makes an empty folder the first state of a new fleet. It must
+	// be set only once in the life of a fleet, since a replica that lost its
+	// disk and starts with it would have forgotten what it has acknowledged.
+	Bootstrap bool
+	Log       *zap.Logger
+
+	ring  *timeline.Ring
+	loop  *loop
+	peers *subscribers
+}
+
+// Run serves until ctx ends. It returns a replica.StoppedError where the disk
+// failed, and a replica.CorruptError where stored bytes are damaged.
+func (d *Daemon) Run(ctx context.Context) error {
+	if d.Log == nil {
+		d.Log = zap.NewNop()
+	}
+	d.ring = timeline.NewRing(d.Settings.ID)
+	if d.Sockets == nil {
+		sockets, err := Open(d.Settings)
+		if err != nil {
+			return err
+		}
+		d.Sockets = sockets
+	}
+	transport, err := d.build(time.Now())
+	if err != nil {
+		d.Sockets.close()
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	transport.Deliver = func(from fleet.VMID, m replica.Message) { d.loop.deliver(ctx, from, m) }
+	socket := &peer.Socket{Self: d.Settings.ID, Conn: d.Sockets.Control, Clock: d.ring.Clock}
+	d.loop.hint = func(e spread.Envelope, now time.Time) { d.hint(socket, e, now) }
+	pulls := &peer.Server{Self: d.Settings.ID, Listener: d.Sockets.Pulls, Answer: d.loop.answer}
+	group.Go(func() error { return transport.Run(ctx) })
+	group.Go(func() error { return d.loop.run(ctx) })
+	group.Go(func() error { return pulls.Run(ctx) })
+	group.Go(func() error { return socket.Receive(ctx, func(r peer.Received) { d.receive(ctx, r) }) })
+	group.Go(func() error { return d.serve(ctx) })
+	d.ring.Record(timeline.Event{Kind: timeline.KindStart, Name: "Started", VM: d.Settings.ID}, time.Now())
+	d.Log.Info("control VM started", zap.String("id", string(d.Settings.ID)), zap.Stringer("http", d.Sockets.HTTP.Addr()))
+	err = group.Wait()
+	d.Log.Info("control VM stopped", zap.Error(err))
+	return err
+}
+
+// Open opens the ports of a control VM; it returns an OpenError.
+func Open(s *Settings) (*Sockets, error) {
+	o := new(Sockets)
+	var err error
+	if o.HTTP, err = net.Listen("tcp", s.HTTP.String()); err != nil {
+		return nil, &OpenError{What: "the HTTP port", Err: err}
+	}
+	if o.Replication, err = net.Listen("tcp", s.Replica(s.ID).Replication.String()); err != nil {
+		o.close()
+		return nil, &OpenError{What: "the replication port", Err: err}
+	}
+	if o.Pulls, err = net.Listen("tcp", s.Control.String()); err != nil {
+		o.close()
+		return nil, &OpenError{What: "the control port", Err: err}
+	}
+	if o.Control, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.Control)); err != nil {
+		o.close()
+		return nil, &OpenError{What: "the control port", Err: err}
+	}
+	return o, nil
+}
+
+func (o *Sockets) close() {
+	if o.HTTP != nil {
+		o.HTTP.Close()
+	}
+	if o.Replication != nil {
+		o.Replication.Close()
+	}
+	if o.Pulls != nil {
+		o.Pulls.Close()
+	}
+	if o.Control != nil {
+		o.Control.Close()
+	}
+}
+
+// build opens the replica and connects its parts.
+func (d *Daemon) build(now time.Time) (*Transport, error) {
+	m := settings.NewMachine()
+	r, err := d.openReplica(m, now)
+	if err != nil {
+		return nil, err
+	}
+	transport := &Transport{
+		Self:     d.Settings.ID,
+		Listener: d.Sockets.Replication,
+		Address:  d.replicationAddress,
+	}
+	if d.Settings.Keys != nil {
+		if transport.Keys, err = LoadKeys(*d.Settings.Keys); err != nil {
+			return nil, err
+		}
+	}
+	d.peers = &subscribers{addresses: make(map[fleet.VMID]netip.AddrPort)}
+	d.loop = &loop{
+		self:     d.Settings.ID,
+		replica:  r,
+		machine:  m,
+		source:   &spread.Node{Self: d.Settings.ID, Copy: documents{m}, Source: true},
+		recorder: d.ring,
+		send:     transport.Send,
+		url:      d.url,
+	}
+	d.loop.init()
+	return transport, nil
+}
+
+func (d *Daemon) openReplica(m *settings.Machine, now time.Time) (*replica.Replica, error) {
+	if err := os.MkdirAll(d.Settings.Data, folderMode); err != nil {
+		return nil, &OpenError{What: "the data folder", Err: err}
+	}
+	fs := replica.DirFS(d.Settings.Data)
+	o := replica.Options{
+		Self:        d.Settings.ID,
+		Incarnation: fleet.Incarnation(now.UnixNano()),
+		FS:          fs,
+		Machine:     machine{m},
+		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	var members []replica.Member
+	for _, r := range d.Settings.Replicas {
+		o.Peers = append(o.Peers, r.ID)
+		members = append(members, replica.Member{Identity: replica.Identity{VM: r.ID, Incarnation: bootIncarnation}, Voter: true})
+	}
+	if d.Bootstrap {
+		self := replica.Identity{VM: d.Settings.ID, Incarnation: bootIncarnation}
+		if err := replica.Bootstrap(fs, self, members); err != nil {
+			return nil, fmt.Errorf("bootstrap: %w", err)
+		}
+	}
+	return replica.Open(o, now)
+}
+
+func (d *Daemon) replicationAddress(id fleet.VMID) string {
+	if r := d.Settings.Replica(id); r != nil {
+		return r.Replication.String()
+	}
+	return ""
+}
+
+func (d *Daemon) url(id fleet.VMID) string {
+	if r := d.Settings.Replica(id); r != nil {
+		return "http://" + r.HTTP.String()
+	}
+	return ""
+}
+
+// receive handles a hint of an entry VM and remembers where it came from.
+func (d *Daemon) receive(ctx context.Context, r peer.Received) {
+	if r.Channel != peer.Spread {
+		return
+	}
+	m, err := spread.Decode(r.Body)
+	if err != nil || m.Hint == nil {
+		return
+	}
+	_ = d.loop.call(ctx, func(now time.Time) {
+		d.peers.set(r.From, r.Address)
+		for _, e := range d.loop.source.Handle(r.From, m, now) {
+			d.loop.hint(e, now)
+		}
+	})
+}
+
+func (d *Daemon) hint(socket *peer.Socket, e spread.Envelope, now time.Time) {
+	address, ok := d.peers.addresses[e.To]
+	if !ok || !e.Message.Datagram() {
+		return
+	}
+	body, err := e.Message.Encode()
+	if err != nil {
+		return
+	}
+	socket.Send(address, peer.Spread, body, now)
+}
+
+func (d *Daemon) serve(ctx context.Context) error {
+	api := &API{Log: d.loop, RootKeyHash: d.Settings.RootKeyHash}
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(&collector{loop: d.loop})
+	mux := http.NewServeMux()
+	mux.Handle("/", api.Handler())
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	mux.Handle("GET "+timeline.Path, &timeline.Handler{Ring: d.ring})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
+	stopped := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		grace, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		if server.Shutdown(grace) != nil {
+			server.Close()
+		}
+	})
+	if err := server.Serve(d.Sockets.HTTP); !errors.Is(err, http.ErrServerClosed) {
+		return &OpenError{What: "the HTTP interface", Err: err}
+	}
+	<-stopped
+	return nil
+}
--- /dev/null
+++ b/internal/control/settings.go
@@ -0,0 +1,134 @@
+package control
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"bamboowalk.org/bamboowalk/internal/settingsfile"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/settings"
+)
+
+type (
+	// Settings are the checked settings of a control VM.
+	Settings struct {
+		ID fleet.VMID
+		// Data is the folder of the replica's files.
+		Data string
+		// HTTP serves operators, metrics and the time line.
+		HTTP netip.AddrPort
+		// Control takes hints over UDP and pulls over TCP.
+		Control     netip.AddrPort
+		Replicas    []ReplicaAddress
+		RootKeyHash string
+		// Keys is nil for connections between replicas without TLS.
+		Keys *KeyFiles
+		Log  settingsfile.Log
+	}
+
+	// ReplicaAddress says where a replica is reached.
+	ReplicaAddress struct {
+		ID          fleet.VMID
+		Replication netip.AddrPort
+		HTTP        netip.AddrPort
+	}
+
+	settingsForm struct {
+		ID          string        `toml:"ID"`
+		Data        string        `toml:"Data"`
+		HTTP        string        `toml:"HTTP"`
+		Control     string        `toml:"Control"`
+		RootKeyFile string        `toml:"RootKeyFile"`
+		LogFormat   string        `toml:"LogFormat"`
+		LogLevel    string        `toml:"LogLevel"`
+		Keys        *KeyFiles     `toml:"Keys"`
+		Replicas    []replicaForm `toml:"Replicas"`
+	}
+
+	replicaForm struct {
+		ID          string `toml:"ID"`
+		Replication string `toml:"Replication"`
+		HTTP        string `toml:"HTTP"`
+	}
+)
+
+// LoadSettings reads and checks a settings file; it returns a
+// settingsfile.Error with all faults.
+func LoadSettings(path string) (*Settings, error) {
+	var form settingsForm
+	c, err := settingsfile.Load(path, &form)
+	if err != nil {
+		return nil, err
+	}
+	s := &Settings{
+		ID:      fleet.VMID(c.Name("ID", form.ID)),
+		Data:    c.Name("Data", form.Data),
+		HTTP:    c.Address("HTTP", form.HTTP),
+		Control: c.Address("Control", form.Control),
+		Keys:    form.Keys,
+		Log:     c.Log(form.LogFormat, form.LogLevel),
+	}
+	if !filepath.IsAbs(s.Data) {
+		s.Data = filepath.Join(filepath.Dir(path), s.Data)
+	}
+	s.rootKey(c, path, form.RootKeyFile)
+	s.replicas(c, form.Replicas)
+	return s, c.Err()
+}
+
+// rootKey reads the file with the key; the settings keep its hash only.
+func (s *Settings) rootKey(c *settingsfile.Checker, path, file string) {
+	if c.Name("RootKeyFile", file) == "" {
+		return
+	}
+	if !filepath.IsAbs(file) {
+		file = filepath.Join(filepath.Dir(path), file)
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		c.Fault("RootKeyFile", "%v", err)
+		return
+	}
+	key := strings.TrimSpace(string(text))
+	if key == "" {
+		c.Fault("RootKeyFile", "%s is empty", file)
+		return
+	}
+	s.RootKeyHash = settings.HashKey(key)
+}
+
+func (s *Settings) replicas(c *settingsfile.Checker, forms []replicaForm) {
+	if n := len(forms); n != 1 && n != 3 && n != 5 {
+		c.Fault("Replicas", "must name 1, 3 or 5 replicas, not %d", n)
+	}
+	seen := make(map[fleet.VMID]bool)
+	for i, f := range forms {
+		key := fmt.Sprintf("Replicas[%d]", i)
+		r := ReplicaAddress{
+			ID:          fleet.VMID(c.Name(key+".ID", f.ID)),
+			Replication: c.Address(key+".Replication", f.Replication),
+			HTTP:        c.Address(key+".HTTP", f.HTTP),
+		}
+		if seen[r.ID] {
+			c.Fault(key+".ID", "stands twice")
+		}
+		seen[r.ID] = true
+		s.Replicas = append(s.Replicas, r)
+	}
+	if !seen[s.ID] {
+		c.Fault("ID", "no entry of Replicas has the id %q", s.ID)
+	}
+}
+
+// Replica returns the addresses of a replica, or nil.
+func (s *Settings) Replica(id fleet.VMID) *ReplicaAddress {
+	for i := range s.Replicas {
+		if s.Replicas[i].ID == id {
+			return &s.Replicas[i]
+		}
+	}
+	return nil
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -216,3 +216,23 @@
 	r := settings.ResultOf(err)
 	return r.Code != settings.CodeOther
 }
+
+// GetJSON reads one URL, without looking for the leader.
+func (c *Client) GetJSON(ctx context.Context, url string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return fmt.Errorf("request to %s: %w", url, err)
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return fmt.Errorf("request to %s: %w", url, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return &StatusError{Server: url, Status: resp.StatusCode}
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponse)).Decode(out); err != nil {
+		return fmt.Errorf("answer of %s: %w", url, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,109 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/settings"
+	"bamboowalk.org/bamboowalk/pkg/spread"
+	"bamboowalk.org/bamboowalk/pkg/timeline"
+)
+
+func newSocket(t *testing.T, id fleet.VMID) *Socket {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &Socket{Self: id, Conn: conn, Clock: new(timeline.Clock)}
+}
+
+func (s *Socket) address() netip.AddrPort { return s.Conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// Guards against garbage that ends the receiver or reaches a protocol, and
+// against stamps that do not order sender and receiver.
+func TestSocket(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a, b := newSocket(t, "a"), newSocket(t, "b")
+	defer a.Conn.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	now := time.Now()
+	if _, err := a.Conn.WriteToUDPAddrPort([]byte("garbage"), b.address()); err != nil {
+		t.Fatal(err)
+	}
+	a.Send(b.address(), Lease, make([]byte, MaxDatagram), now)
+	a.Send(b.address(), Lease, []byte("body"), now.Add(time.Second))
+	var got Received
+	if err := b.Receive(ctx, func(r Received) { got = r; cancel() }); err != nil {
+		t.Fatalf("Receive: got %v, want no error", err)
+	}
+	if got.From != "a" || got.Channel != Lease || string(got.Body) != "body" || got.Address != a.address() {
+		t.Errorf("got %+v, want the frame from a", got)
+	}
+	if invalid, _, _ := b.Discarded(); invalid != 1 {
+		t.Errorf("invalid datagrams: got %d, want 1", invalid)
+	}
+	if _, _, tooLarge := a.Discarded(); tooLarge != 1 {
+		t.Errorf("too large frames: got %d, want 1", tooLarge)
+	}
+	if later := b.Clock.Now(now); later.Compare(got.Stamp) <= 0 {
+		t.Errorf("receiver's stamp: got %v, want one after %v", later, got.Stamp)
+	}
+}
+
+// Guards against pulls that lose a delta, hang, or leave goroutines behind.
+func TestPull(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := settings.NewStore().Delta(0)
+	server := &Server{Self: "a", Listener: listener, Answer: func(from fleet.VMID, m spread.Message) (spread.Message, error) {
+		if from != "b" || m.Pull == nil {
+			return spread.Message{}, &fleet.UnknownError{Type: "VM", Name: string(from)}
+		}
+		return spread.Message{Push: &spread.Push{Delta: *want}}, nil
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- server.Run(ctx) }()
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	message := spread.Message{Pull: &spread.Pull{}}
+	from, got, err := Pull(ctx, "b", address, message)
+	if err != nil || from != "a" || got.Push == nil || got.Push.Delta.Full != want.Full {
+		t.Errorf("got %v, %+v, %v, want a delta from a", from, got, err)
+	}
+	var pe *PullError
+	if _, _, err := Pull(ctx, "c", address, message); !errors.As(err, &pe) {
+		t.Errorf("refused pull: got %v, want PullError", err)
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Errorf("Run: got %v, want no error", err)
+	}
+	if _, _, err := Pull(context.Background(), "b", address, message); !errors.As(err, &pe) {
+		t.Errorf("pull from a stopped server: got %v, want PullError", err)
+	}
+}
+
+// Guards against a panic on garbage from the network.
+func FuzzDecodeFrame(f *testing.F) {
+	b, err := (&Frame{Channel: Spread, From: "a"}).Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if got, err := DecodeFrame(b); err == nil && got.Validate() != nil {
+			t.Errorf("got frame %+v, want a valid one", got)
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/socket.go
@@ -0,0 +1,115 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/timeline"
+)
+
+type (
+	// Received is a valid frame and where it came from.
+	Received struct {
+		Frame
+		Address netip.AddrPort
+	}
+
+	// Counters count the datagrams and bytes of one channel.
+	Counters struct {
+		SentFrames, SentBytes         atomic.Uint64
+		ReceivedFrames, ReceivedBytes atomic.Uint64
+	}
+
+	// SocketError reports a control socket that failed.
+	SocketError struct {
+		Op  string
+		Err error
+	}
+)
+
+// Error names the operation.
+func (e *SocketError) Error() string { return fmt.Sprintf("control socket: %s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *SocketError) Unwrap() error { return e.Err }
+
+// Socket sends and receives frames. Exported fields are set before first use;
+// Send may be called by several goroutines.
+type Socket struct {
+	Self  fleet.VMID
+	Conn  *net.UDPConn
+	Clock *timeline.Clock
+
+	counters [channels]Counters
+	// invalid counts datagrams that are no valid frame, failed those that the
+	// system did not take.
+	invalid, failed, tooLarge atomic.Uint64
+}
+
+// Send sends one frame; failures are counted, since all protocols repeat what
+// is lost.
+func (s *Socket) Send(to netip.AddrPort, c Channel, body []byte, now time.Time) {
+	f := Frame{Channel: c, From: s.Self, Stamp: s.Clock.Now(now), Body: body}
+	b, err := f.Encode()
+	if err != nil {
+		s.tooLarge.Add(1)
+		return
+	}
+	if _, err := s.Conn.WriteToUDPAddrPort(b, to); err != nil {
+		s.failed.Add(1)
+		return
+	}
+	s.counters[c].SentFrames.Add(1)
+	s.counters[c].SentBytes.Add(uint64(len(b)))
+}
+
+// Receive passes valid frames to deliver until ctx ends; it returns a
+// SocketError where the socket fails before that. It reads the clock, since it
+// stands between the network and the deciding code.
+func (s *Socket) Receive(ctx context.Context, deliver func(Received)) error {
+	stop := context.AfterFunc(ctx, func() { s.Conn.Close() })
+	defer stop()
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := s.Conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return &SocketError{Op: "read", Err: err}
+		}
+		if err != nil {
+			// An ICMP error of an earlier datagram ends up here; the socket
+			// itself still works.
+			s.failed.Add(1)
+			continue
+		}
+		f, err := DecodeFrame(buf[:n])
+		if err != nil {
+			s.invalid.Add(1)
+			continue
+		}
+		s.counters[f.Channel].ReceivedFrames.Add(1)
+		s.counters[f.Channel].ReceivedBytes.Add(uint64(n))
+		s.Clock.Observe(f.Stamp, time.Now())
+		deliver(Received{Frame: f, Address: netip.AddrPortFrom(from.Addr().Unmap(), from.Port())})
+	}
+}
+
+// Counters returns the counters of a channel.
+func (s *Socket) Counters(c Channel) *Counters { return &s.counters[c] }
+
+// Channels returns all channels.
+func Channels() []Channel { return []Channel{Membership, Lease, Spread, Balancer} }
+
+// Discarded returns the datagrams that were invalid, could not be sent, or
+// were too large to send.
+func (s *Socket) Discarded() (invalid, failed, tooLarge uint64) {
+	return s.invalid.Load(), s.failed.Load(), s.tooLarge.Load()
+}
--- a/pkg/settings/machine.go
+++ b/pkg/settings/machine.go
@@ -287,9 +287,14 @@
 	return b, nil
 }
 
-// Restore replaces the state by a snapshot's; it returns a DecodeError and
-// leaves the state as it was where the bytes are no snapshot.
+// Restore replaces the state by a snapshot's, where no bytes stand for a
+// machine without documents; it returns a DecodeError and leaves the state as
+// it was where the bytes are no snapshot.
 func (m *Machine) Restore(b []byte) error {
+	if len(b) == 0 {
+		*m = *NewMachine()
+		return nil
+	}
 	var s snapshot
 	if err := cbor.Unmarshal(b, &s); err != nil {
 		return &DecodeError{Type: "Snapshot", Err: err}
