--- a/internal/control/daemon_test.go
+++ b/internal/control/daemon_test.go
@@ -135,7 +135,7 @@
 		}
 	}()
 	c := f.client()
-	last := put(t, c, "Monza")
+	put(t, c, "Monza")
 	for i := range 3 {
 		f.stop(i)
 		if i == 1 {
@@ -143,7 +143,7 @@
 				t.Fatal(err)
 			}
 		}
-		last = put(t, c, fmt.Sprintf("Z%d", i))
+		last := put(t, c, fmt.Sprintf("Z%d", i))
 		sockets, err := control.Open(f.all[i])
 		if err != nil {
 			t.Fatal(err)
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -361,11 +361,14 @@
 }
 
 func (o output) printf(format string, args ...any) {
-	w := o.Writer
-	if w == nil {
-		w = os.Stdout
+	fmt.Fprintf(o.writer(), format, args...)
+}
+
+func (o output) writer() io.Writer {
+	if o.Writer == nil {
+		return os.Stdout
 	}
-	fmt.Fprintf(w, format, args...)
+	return o.Writer
 }
 
 func (i input) reader() io.Reader {
