--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -17,6 +17,12 @@
 		Data netip.AddrPort `toml:"Data" json:"Data" cbor:"3,keyasint"`
 	}
 
+	// Member is one life of an entry VM; a restart gives a new incarnation.
+	Member struct {
+		VM          VM          `json:"VM" cbor:"1,keyasint"`
+		Incarnation Incarnation `json:"Incarnation" cbor:"2,keyasint"`
+	}
+
 	// Zone is one zone as this VM sees it.
 	Zone struct {
 		ID        ZoneID
