Add zone epochs, leases and sealing

Cause: the entry VMs of a zone need one agreed view per epoch, leases without clock agreement, and a proof that an earlier epoch has ended.

Change: pkg/lease, a state machine with ballots among the council, majority leases, sealing, recovery of council members without memory, first views, council changes and transfer of views by deltas or chunks. Membership counts the hold-down of a flapping VM from its return, since it otherwise ended before the VM was back.

--- /dev/null
+++ b/pkg/lease/lease_test.go
@@ -0,0 +1,289 @@
+package lease_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/lease"
+)
+
+// Guards against zones that do not form, and against crashed VMs that stay in
+// the view for longer than 2.5 s or whose view is never sealed.
+func TestFormAndCrash(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 7, 20} {
+		for seed := range uint64(5) {
+			what := fmt.Sprintf("n %d seed %d", n, seed)
+			z := newZone(t, seed, n)
+			z.startAll()
+			z.mustSettle(10*time.Second, what)
+			if n >= 3 {
+				for _, victim := range []int{0, n - 1} {
+					id := z.ids[victim]
+					z.net.Stop(id)
+					gone := func() bool {
+						for _, o := range z.ids {
+							if _, in := z.vms[o].lease.View().Member(id); z.net.Running(o) && in {
+								return false
+							}
+						}
+						return true
+					}
+					if !z.net.RunUntil(2500*time.Millisecond, gone) {
+						t.Errorf("%s: crashed VM %s is in the view after 2.5 s", what, id)
+					}
+					z.mustSettle(4*time.Second, what+" after a crash")
+					z.start(id)
+					z.mustSettle(10*time.Second, what+" after a restart")
+					// A majority of the council must vote when the next VM
+					// crashes, which a council of 3 needs time for.
+					if n == 3 && !z.net.RunUntil(5*time.Second, z.vms[id].lease.Voting) {
+						t.Errorf("%s: %s does not vote again", what, id)
+					}
+				}
+			}
+			z.mustHold(what)
+		}
+	}
+}
+
+// Guards against violations of the invariants under random faults, and
+// against zones that do not recover from them.
+func TestRandomFaults(t *testing.T) {
+	for _, n := range []int{3, 5, 7, 12} {
+		for seed := range uint64(12) {
+			runFaults(t, n, seed)
+		}
+	}
+}
+
+func runFaults(t *testing.T, n int, seed uint64) {
+	what := fmt.Sprintf("n %d seed %d", n, seed)
+	z := newZone(t, 1000+seed, n)
+	z.net.Loss, z.net.Duplicate, z.net.Jitter = 0.03, 0.03, 20*time.Millisecond
+	for _, id := range z.ids {
+		z.net.SetClock(id, time.Duration(z.rng.Int64N(int64(time.Hour))), 0.91+0.18*z.rng.Float64())
+	}
+	z.startAll()
+	for range 40 {
+		z.net.Run(time.Duration(z.rng.Int64N(int64(1500 * time.Millisecond))))
+		a, b := z.ids[z.rng.IntN(n)], z.ids[z.rng.IntN(n)]
+		switch z.rng.IntN(10) {
+		case 0:
+			z.net.Stop(a)
+		case 1, 2:
+			z.start(a)
+		case 3:
+			z.net.Freeze(a)
+		case 4, 5:
+			if z.net.Frozen(a) {
+				z.net.Thaw(a)
+			}
+		case 6:
+			z.net.Cut(a, b)
+		case 7:
+			z.net.CutBoth(a, b)
+		case 8:
+			for _, o := range z.ids[:n/2] {
+				z.net.Cut(a, o)
+				z.net.Cut(o, b)
+			}
+		case 9:
+			z.net.Heal()
+		}
+	}
+	z.net.Heal()
+	z.net.Loss = 0.01
+	for _, id := range z.ids {
+		if z.net.Frozen(id) {
+			z.net.Thaw(id)
+		}
+		if !z.net.Running(id) {
+			z.start(id)
+		}
+	}
+	z.mustSettle(90*time.Second, what)
+	z.mustHold(what)
+}
+
+// Guards against decoders that panic, and against messages that pass Validate
+// and break the state machine or the round trip.
+func FuzzDecode(f *testing.F) {
+	ballot := lease.Ballot{Round: 1, VM: "b"}
+	for _, m := range []lease.Message{
+		{Kind: lease.Request, Revision: 1, Seq: 1, Epoch: 1 << 32, Incarnation: 3},
+		{Kind: lease.Accept, Revision: 1, Epoch: 1<<32 + 1, Ballot: &ballot, Deltas: []lease.Delta{{
+			Epoch: 1<<32 + 1, Join: []fleet.Member{{VM: fleet.VM{ID: "b"}, Incarnation: 2}}, Services: []fleet.ServiceID{"T/S"},
+		}}},
+		{Kind: lease.Chunk, Revision: 1, Epoch: 1<<32 + 1, Parts: 2, Deltas: []lease.Delta{{Epoch: 1<<32 + 1}}},
+	} {
+		data, err := m.Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := lease.Decode(data)
+		if err != nil {
+			var de *lease.DecodeError
+			if !errors.As(err, &de) {
+				t.Fatalf("got %T, want DecodeError", err)
+			}
+			return
+		}
+		again, err := m.Encode()
+		if err != nil {
+			t.Fatalf("encode of a decoded message: %v", err)
+		}
+		if len(again) <= lease.MaxDatagram {
+			if _, err := lease.Decode(again); err != nil {
+				t.Fatalf("decode of an encoded message: %v", err)
+			}
+		}
+		now := time.Unix(0, 0)
+		mach := lease.New(lease.Config{Self: fleet.VM{ID: "a"}, Zone: "monza", Incarnation: 1, Rand: rand.New(rand.NewPCG(1, 1))}, now)
+		mach.SetCouncil(lease.Council{Revision: 1, Members: []fleet.VMID{"a", "b", "c"}}, now)
+		mach.Handle("b", m, now.Add(2*time.Second))
+		mach.Tick(now.Add(3 * time.Second))
+	})
+}
+
+// Guards against a checker that sees nothing: a VM whose clock runs at a third
+// of the true rate keeps its lease longer than anybody allows for.
+func TestCheckerDetectsViolation(t *testing.T) {
+	z := newZone(t, 1, 7)
+	slow := z.ids[6]
+	z.net.SetClock(slow, 0, 0.3)
+	z.startAll()
+	z.net.Run(15 * time.Second)
+	for _, id := range z.ids {
+		z.net.CutBoth(id, slow)
+	}
+	z.net.Run(5 * time.Second)
+	if len(z.check.problems) == 0 {
+		t.Errorf("the checker reports no violation, want a lease in an epoch before a sealed one")
+	}
+	z = newZone(t, 1, 3)
+	z.startAll()
+	z.net.Run(5 * time.Second)
+	v := z.vms[z.ids[0]]
+	z.check.last[v] = v.lease.View().Epoch + 1
+	z.check.observe(v)
+	z.check.last[v] = 0
+	z.check.views[v.lease.View().Epoch] = "another view"
+	z.check.observe(v)
+	if got := len(z.check.problems); got != 2 {
+		t.Errorf("planted a falling epoch and two views of one epoch: got %d problems, want 2", got)
+	}
+}
+
+// Guards against a rolling restart that loses the council's state, and against
+// more than a bounded pause of decisions during it.
+func TestRollingRestart(t *testing.T) {
+	for _, n := range []int{7, 20} {
+		z := newZone(t, 3, n)
+		z.startAll()
+		z.mustSettle(10*time.Second, "start")
+		first := z.vms[z.ids[0]].lease.View().Epoch
+		for _, id := range z.ids {
+			z.vms[id].mem.Leave(z.net.Clock(id))
+			gone := func() bool { _, in := z.vms[id].lease.View().Member(id); return !in }
+			if !z.net.RunUntil(3*time.Second, gone) {
+				t.Fatalf("n %d: leaving VM %s stays in its view", n, id)
+			}
+			z.net.Run(300 * time.Millisecond)
+			z.net.Stop(id)
+			z.net.Run(200 * time.Millisecond)
+			z.start(id)
+			z.mustSettle(10*time.Second, fmt.Sprintf("n %d restart of %s", n, id))
+			if council := n == 7 || id < z.ids[7]; council && !z.net.RunUntil(5*time.Second, z.vms[id].lease.Voting) {
+				t.Fatalf("n %d: %s does not vote again", n, id)
+			}
+		}
+		if last := z.vms[z.ids[0]].lease.View().Epoch; last-first > fleet.Epoch(3*n) {
+			t.Errorf("n %d: %d epochs for a rolling restart, want at most 3 per VM", n, last-first)
+		}
+		z.mustHold("rolling restart")
+	}
+}
+
+// Guards against a flapping VM that causes a view change each time.
+func TestFlapping(t *testing.T) {
+	z := newZone(t, 4, 7)
+	z.startAll()
+	z.mustSettle(10*time.Second, "start")
+	first := z.vms[z.ids[0]].lease.View().Epoch
+	for range 10 {
+		z.net.Freeze(z.ids[6])
+		z.net.Run(3 * time.Second)
+		z.net.Thaw(z.ids[6])
+		z.net.Run(3 * time.Second)
+	}
+	if got := z.vms[z.ids[0]].lease.View().Epoch - first; got > 8 {
+		t.Errorf("10 flaps: got %d epochs, want at most 8", got)
+	}
+	z.mustSettle(2*time.Minute, "after flapping")
+	z.mustHold("flapping")
+}
+
+// Guards against a minority that goes on deciding, and against a majority that
+// stops.
+func TestPartition(t *testing.T) {
+	for seed := range uint64(5) {
+		z := newZone(t, seed, 12)
+		z.startAll()
+		z.mustSettle(10*time.Second, "start")
+		minority, majority := z.ids[:3], z.ids[3:]
+		for _, a := range minority {
+			for _, b := range majority {
+				z.net.CutBoth(a, b)
+			}
+		}
+		z.net.Run(6 * time.Second)
+		for _, id := range minority {
+			if z.vms[id].lease.MayDecide(z.net.Clock(id)) {
+				t.Errorf("seed %d: %s decides in a minority", seed, id)
+			}
+		}
+		for _, id := range majority {
+			if v := z.vms[id].lease; !v.MayDecide(z.net.Clock(id)) || len(v.View().Members) != 9 {
+				t.Errorf("seed %d: %s does not decide in a majority", seed, id)
+			}
+		}
+		z.net.Heal()
+		z.mustSettle(20*time.Second, "heal")
+		z.mustHold("partition")
+	}
+}
+
+// Guards against a council change that loses the view, repeats an epoch or
+// leaves two councils active.
+func TestCouncilChange(t *testing.T) {
+	for seed := range uint64(5) {
+		z := newZone(t, seed, 10)
+		z.startAll()
+		z.mustSettle(10*time.Second, "start")
+		z.net.Run(20 * time.Second)
+		before := z.vms[z.ids[9]].lease.View().Epoch
+		z.council = lease.Council{Revision: 7, Members: z.ids[3:10]}
+		if seed%2 == 1 { // the old council's majority is lost for good
+			for _, id := range z.ids[:4] {
+				z.net.Stop(id)
+			}
+			z.net.Run(5 * time.Second)
+		}
+		for _, id := range z.ids {
+			z.net.Run(time.Duration(z.rng.Int64N(int64(300 * time.Millisecond))))
+			z.vms[id].lease.SetCouncil(z.council, z.net.Clock(id))
+		}
+		z.mustSettle(20*time.Second, fmt.Sprintf("seed %d council change", seed))
+		if after := z.vms[z.ids[9]].lease.View().Epoch; after>>32 != 7 || after <= before {
+			t.Errorf("seed %d: epoch %x after %x, want revision 7", seed, after, before)
+		}
+		z.mustHold("council change")
+	}
+}
--- /dev/null
+++ b/pkg/lease/message.go
@@ -0,0 +1,235 @@
+package lease
+
+import (
+	"cmp"
+	"fmt"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+// Kinds of messages; the numbers are part of the wire format.
+const (
+	Request  Kind = 1  // to the council: renew my lease; I have adopted Epoch
+	Grant    Kind = 2  // reply to Request
+	Fetch    Kind = 3  // send me what follows my Epoch
+	Deltas   Kind = 4  // consecutive deltas
+	Chunk    Kind = 5  // one part of a full view
+	Prepare  Kind = 6  // ballots: phase 1
+	Promise  Kind = 7  //
+	Accept   Kind = 8  // ballots: phase 2
+	Accepted Kind = 9  //
+	Nack     Kind = 10 // the receiver knows a later ballot or epoch
+	Recover  Kind = 11 // a council member without state asks for it
+	State    Kind = 12 // reply to Recover
+	Clean    Kind = 13 // no lease granted by the sender before Epoch is valid
+	Sealed   Kind = 14 // Epoch is sealed
+	Report   Kind = 15 // changes of targets, to the proposer
+)
+
+// Flags of a Grant.
+const (
+	flagGranted  = 1 << iota // the lease is renewed in Epoch
+	flagSealed               // Epoch is sealed
+	flagProposer             // the sender is the proposer
+)
+
+// States of a council member in a State message.
+const (
+	roleWaiting Role = 1 // leases that its earlier life granted may be valid
+	roleNew     Role = 2 // has waited; may have voted in an earlier life
+	roleFresh   Role = 3 // has waited; has certainly not voted in this council
+	roleIntact  Role = 4 // votes
+)
+
+// Bounds of one message.
+const (
+	// MaxDatagram is the largest encoded message, in bytes.
+	MaxDatagram = 1200
+	// MaxCouncil is the largest council.
+	MaxCouncil  = 7
+	maxID       = 64
+	maxServices = 128
+)
+
+type (
+	// Kind classifies messages.
+	Kind uint8
+	// Role tells whether a council member may vote.
+	Role uint8
+
+	// Ballot orders the attempts to choose a view; the proposer's id breaks
+	// ties of Round. The zero Ballot is below all others.
+	Ballot struct {
+		_     struct{} `cbor:",toarray"`
+		Round uint32
+		VM    fleet.VMID
+	}
+
+	// Message is a datagram of the lease protocol. Revision is the settings
+	// revision of the council that the sender knows.
+	Message struct {
+		Kind        Kind              `cbor:"1,keyasint"`
+		Revision    uint32            `cbor:"2,keyasint,omitempty"`
+		Seq         uint32            `cbor:"3,keyasint,omitempty"`
+		Epoch       fleet.Epoch       `cbor:"4,keyasint,omitempty"`
+		Incarnation fleet.Incarnation `cbor:"5,keyasint,omitempty"`
+		Flags       uint8             `cbor:"6,keyasint,omitempty"`
+		Ballot      *Ballot           `cbor:"7,keyasint,omitempty"`
+		Accepted    *Ballot           `cbor:"8,keyasint,omitempty"`
+		Deltas      []Delta           `cbor:"9,keyasint,omitempty"`
+		Part        uint16            `cbor:"10,keyasint,omitempty"`
+		Parts       uint16            `cbor:"11,keyasint,omitempty"`
+		Role        Role              `cbor:"12,keyasint,omitempty"`
+		Known       fleet.Epoch       `cbor:"13,keyasint,omitempty"`
+		Voters      []Voter           `cbor:"14,keyasint,omitempty"`
+	}
+
+	// Envelope is a message and the VM that it goes to.
+	Envelope struct {
+		To      fleet.VMID
+		Message Message
+	}
+
+	// DecodeError reports a datagram that is not a valid message.
+	DecodeError struct {
+		Size int
+		Err  error
+	}
+)
+
+var decMode = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 512, MaxMapPairs: 32, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Error returns the size of the datagram and the cause.
+func (e *DecodeError) Error() string {
+	return fmt.Sprintf("lease datagram of %d bytes: %v", e.Size, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Err }
+
+// Encode returns the datagram of a message.
+func (m *Message) Encode() ([]byte, error) { return cbor.Marshal(m) }
+
+// Decode reads and validates a datagram; it returns a DecodeError.
+func Decode(data []byte) (Message, error) {
+	var m Message
+	if len(data) > MaxDatagram {
+		return m, &DecodeError{Size: len(data), Err: invalid("Message", "Size", "must be at most 1200 bytes")}
+	}
+	if err := decMode.Unmarshal(data, &m); err != nil {
+		return m, &DecodeError{Size: len(data), Err: err}
+	}
+	if err := m.Validate(); err != nil {
+		return m, &DecodeError{Size: len(data), Err: err}
+	}
+	return m, nil
+}
+
+// Validate returns a FieldError for the first value out of range.
+func (m *Message) Validate() error {
+	switch m.Kind {
+	case Request, Grant, Fetch, Recover, Clean, Sealed, Nack:
+	case Deltas:
+		if len(m.Deltas) == 0 {
+			return invalid("Message", "Deltas", "must not be empty")
+		}
+	case Report:
+		if len(m.Deltas) != 1 {
+			return invalid("Message", "Deltas", "must hold one delta")
+		}
+	case Chunk:
+		if len(m.Deltas) != 1 || m.Part >= m.Parts || m.Deltas[0].Epoch != m.Epoch {
+			return invalid("Message", "Part", "must be below Parts, with one delta of Epoch")
+		}
+	case Prepare, Promise, Accept, Accepted:
+		if m.Ballot == nil || m.Epoch == 0 {
+			return invalid("Message", "Ballot", "must be set, with an epoch")
+		}
+		if m.Kind == Accept && (len(m.Deltas) != 1 || m.Deltas[0].Epoch != m.Epoch) {
+			return invalid("Message", "Deltas", "must hold one delta of Epoch")
+		}
+		if m.Kind == Promise && m.Accepted != nil && len(m.Deltas) != 1 {
+			return invalid("Message", "Deltas", "must hold the accepted delta")
+		}
+	case State:
+		if m.Role < roleWaiting || m.Role > roleIntact {
+			return invalid("Message", "Role", "is unknown")
+		}
+		if m.Accepted != nil && len(m.Deltas) != 1 {
+			return invalid("Message", "Deltas", "must hold the accepted delta")
+		}
+	default:
+		return invalid("Message", "Kind", "is unknown")
+	}
+	return m.validateParts()
+}
+
+func (m *Message) validateParts() error {
+	for _, b := range []*Ballot{m.Ballot, m.Accepted} {
+		if b != nil && (b.VM == "" || len(b.VM) > maxID) {
+			return invalid("Ballot", "VM", "must have 1 to 64 bytes")
+		}
+	}
+	if len(m.Voters) > MaxCouncil {
+		return invalid("Message", "Voters", "are too many")
+	}
+	for i := range m.Deltas {
+		if err := m.Deltas[i].Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Validate returns a FieldError for the first value out of range.
+func (d *Delta) Validate() error {
+	if d.Base != 0 && d.Base >= d.Epoch {
+		return invalid("Delta", "Base", "must be below Epoch")
+	}
+	if len(d.Services) > maxServices || len(d.Voters) > MaxCouncil {
+		return invalid("Delta", "Services", "are too many")
+	}
+	for _, s := range d.Services {
+		if s == "" {
+			return invalid("Delta", "Services", "must not be empty")
+		}
+	}
+	for _, m := range d.Join {
+		if m.VM.ID == "" || len(m.VM.ID) > maxID {
+			return invalid("Delta", "Join", "must have ids of 1 to 64 bytes")
+		}
+	}
+	for i := range d.Set {
+		e := &d.Set[i]
+		if int(e.Service) >= len(d.Services) || int(e.State) >= len(states) {
+			return invalid("Delta", "Set", "has an index out of range")
+		}
+		t := e.target(d.Services, "zone")
+		if err := t.Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func invalid(typ, field, reason string) error {
+	return &fleet.FieldError{Type: typ, Field: field, Reason: reason}
+}
+
+func (b Ballot) compare(o Ballot) int {
+	if c := cmp.Compare(b.Round, o.Round); c != 0 {
+		return c
+	}
+	return strings.Compare(string(b.VM), string(o.VM))
+}
--- /dev/null
+++ b/pkg/lease/query.go
@@ -0,0 +1,51 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+// View returns the current view; epoch 0 means that there is none yet.
+func (m *Machine) View() *View { return m.view }
+
+// Sealed reports whether no VM can still decide in an epoch before the
+// current view's.
+func (m *Machine) Sealed() bool { return m.sealed }
+
+// LastSealed returns the last view that this VM knows to be sealed, or nil.
+func (m *Machine) LastSealed() *View { return m.lastSealed }
+
+// MayDecide reports whether this VM may decide about non-idempotent work: its
+// view is sealed and it holds a lease in it.
+func (m *Machine) MayDecide(now time.Time) bool {
+	return m.sealed && m.LeaseUntil(now).After(now)
+}
+
+// Voting reports whether this VM is a council member that votes; a rolling
+// restart waits for it before the next VM.
+func (m *Machine) Voting() bool { return m.intact && m.inCouncil(m.self) }
+
+// Proposer reports whether this VM is the first to propose views.
+func (m *Machine) Proposer() bool { return m.isProposer() }
+
+// Stats returns the counters.
+func (m *Machine) Stats() Stats { return m.stats }
+
+// BuildView returns the frozen fleet view of this VM from the current zone
+// view, the other zones (membership.Machine.Zones, completed by the settings)
+// and the settings; it returns a FieldError for values out of range.
+func (m *Machine) BuildView(zones []fleet.Zone, listeners []fleet.Listener, revision fleet.Revision) (*fleet.View, error) {
+	v := &fleet.View{
+		Zone: m.cfg.Zone, Self: m.self, Epoch: m.view.Epoch, Sealed: m.sealed, Revision: revision,
+		Zones: slices.Clone(zones), Listeners: slices.Clone(listeners), Targets: slices.Clone(m.view.Targets),
+	}
+	for _, mem := range m.view.Members {
+		v.Members = append(v.Members, mem.VM)
+	}
+	if err := v.Freeze(); err != nil {
+		return nil, err
+	}
+	return v, nil
+}
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -334,7 +334,7 @@
 		e := m.table[id]
 		if e.ownMark && e.since.After(m.lastHeard) && e.zone == m.cfg.Zone {
 			e.ownMark = false
-			e.flaps, e.hold = max(e.flaps-1, 0), time.Time{}
+			e.flaps, e.holdFor = max(e.flaps-1, 0), 0
 			m.moveTo(e, stateAlive, "IsolationEnd", now)
 		}
 	}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -47,7 +47,8 @@
 
 		flaps   int // deaths that were not planned, less the stable times since
 		decayAt time.Time
-		hold    time.Time // no new view takes the VM before
+		holdFor time.Duration // from the next return
+		hold    time.Time     // no new view takes the VM before
 	}
 
 	// Member is one VM as this VM sees it.
@@ -215,12 +216,16 @@
 		if prev == stateSuspect {
 			m.stats.Refutations++
 		}
+		if e.holdFor > 0 && prev != stateSuspect {
+			e.hold, e.holdFor = now.Add(e.holdFor), 0
+			m.stats.HoldDowns++
+		}
 	}
 	m.generation++
 	m.record(e, cause, now)
 }
 
-// countFlap raises the hold-down: none after the first unplanned death, then
+// countFlap raises the hold-down after the next return: none after the first unplanned death, then
 // HoldBase doubled for each further one, at most HoldMax.
 func (m *Machine) countFlap(e *entry, now time.Time) {
 	for e.flaps > 0 && now.After(e.decayAt) {
@@ -236,8 +241,7 @@
 	if e.flaps < 10 {
 		hold = min(hold, m.cfg.HoldBase<<(e.flaps-2))
 	}
-	e.hold = now.Add(hold)
-	m.stats.HoldDowns++
+	e.holdFor = hold
 }
 
 func (m *Machine) record(e *entry, cause string, now time.Time) {
