--- /dev/null
+++ b/pkg/balancer/config.go
@@ -0,0 +1,127 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/timeline"
+)
+
+// Results of a request, as the Limiter hears of them.
+const (
+	// Completed marks a request whose flow ended.
+	Completed Result = iota
+	// ShedByTarget marks a request that the target refused to run.
+	ShedByTarget
+	// Cancelled marks a request that its caller gave up.
+	Cancelled
+	// Expired marks a request whose deadline passed.
+	Expired
+)
+
+const (
+	defaultMaxFlows      = 1 << 20
+	defaultHeldPackets   = 4096
+	defaultHeldBytes     = 4 << 20
+	defaultHandoverRate  = 64 << 10
+	defaultBatchInterval = 200 * time.Millisecond
+	// retentionSlack is added to a kind's deadline for the time in which late
+	// duplicates of a decided request are recognized.
+	retentionSlack = 2 * time.Second
+)
+
+type (
+	// Result says how a request ended.
+	Result uint8
+
+	// Request is one request that asks a target for a slot.
+	Request struct {
+		Flow              fleet.FlowKey
+		Kind              fleet.KindName
+		Arrived, Deadline time.Time
+		Bytes             int
+	}
+
+	// Limiter is the admission control of one target.
+	Limiter interface {
+		// TryStart takes a slot if one is free and nothing that should go first
+		// waits.
+		TryStart(r Request, now time.Time) bool
+		// Enqueue adds r to the queue; the evicted requests surely did not run.
+		Enqueue(r Request, now time.Time) (evicted []Request, err error)
+		// Next returns the queued requests that take a slot now and those whose
+		// deadline passed.
+		Next(now time.Time) (started, expired []Request)
+		// Finish frees the slot of a started request.
+		Finish(flow fleet.FlowKey, result Result, now time.Time)
+		// Cancel removes a queued request; false where it is not queued.
+		Cancel(flow fleet.FlowKey, now time.Time) bool
+		// Adopt counts a request that a predecessor started.
+		Adopt(r Request, now time.Time)
+		// ReportLoad takes the target's own count of requests in flight.
+		ReportLoad(inFlight int, now time.Time)
+		// Configure sets the target's slots and the service's kinds.
+		Configure(target fleet.Target, kinds []fleet.Kind, now time.Time)
+		// Pressure returns the load from 0 (idle) to 255 (overloaded).
+		Pressure() uint8
+		// InFlight returns the number of started requests.
+		InFlight() int
+	}
+
+	// RetryBudget limits retries to a share of the successes.
+	RetryBudget interface {
+		Earn(now time.Time)
+		Spend(now time.Time) bool
+	}
+
+	// Config holds what a Balancer needs; zero limits take defaults.
+	Config struct {
+		Self fleet.VMID
+		// Strategy places flows; nil is TargetOwner.
+		Strategy Strategy
+		// NewLimiter makes the admission control of a target that this VM owns.
+		NewLimiter func(t fleet.Target, kinds []fleet.Kind, now time.Time) Limiter
+		// Retries limits retries of shed requests; nil allows none.
+		Retries RetryBudget
+		// Recorder takes events; nil discards them.
+		Recorder timeline.Recorder
+		// Random spreads retries in time.
+		Random *rand.Rand
+		// MaxFlows bounds the flow table.
+		MaxFlows int
+		// HeldPackets and HeldBytes bound the packets that wait.
+		HeldPackets, HeldBytes int
+		// HandoverRate bounds handover records, in bytes per second.
+		HandoverRate fleet.BytesPerSecond
+		// BatchInterval is the time between two batches of exceptions.
+		BatchInterval time.Duration
+	}
+)
+
+func (c *Config) setDefaults() {
+	if c.Strategy == nil {
+		c.Strategy = TargetOwner{}
+	}
+	if c.Recorder == nil {
+		c.Recorder = timeline.Discard{}
+	}
+	if c.Random == nil {
+		c.Random = rand.New(rand.NewPCG(1, 1))
+	}
+	if c.MaxFlows == 0 {
+		c.MaxFlows = defaultMaxFlows
+	}
+	if c.HeldPackets == 0 {
+		c.HeldPackets = defaultHeldPackets
+	}
+	if c.HeldBytes == 0 {
+		c.HeldBytes = defaultHeldBytes
+	}
+	if c.HandoverRate == 0 {
+		c.HandoverRate = defaultHandoverRate
+	}
+	if c.BatchInterval == 0 {
+		c.BatchInterval = defaultBatchInterval
+	}
+}
--- /dev/null
+++ b/pkg/balancer/state.go
@@ -0,0 +1,40 @@
+package balancer
+
+import (
+	"time"
+
+	"bamboowalk.org/bamboowalk/pkg/chart"
+)
+
+var (
+	flowChart = chart.MustLoad(chart.Flow)
+
+	stateNew     = flowChart.MustState("New")
+	stateQueued  = flowChart.MustState("Queued")
+	stateRunning = flowChart.MustState("Running")
+	stateEnding  = flowChart.MustState("Ending")
+	stateRefused = flowChart.MustState("Refused")
+	stateUnknown = flowChart.MustState("Unknown")
+	stateAway    = flowChart.MustState("Away")
+	stateGone    = flowChart.MustState("Gone")
+
+	eventForward = flowChart.MustEvent("Forward")
+	eventQueue   = flowChart.MustEvent("Queue")
+	eventRefuse  = flowChart.MustEvent("Refuse")
+	eventAdopt   = flowChart.MustEvent("Adopt")
+	eventLose    = flowChart.MustEvent("Lose")
+	eventEnd     = flowChart.MustEvent("End")
+	eventCancel  = flowChart.MustEvent("Cancel")
+	eventClose   = flowChart.MustEvent("Close")
+	eventOffer   = flowChart.MustEvent("Offer")
+	eventReturn  = flowChart.MustEvent("Return")
+)
+
+// tick converts a time to milliseconds modulo 2^32, about 49 days.
+func tick(t time.Time) uint32 { return uint32(t.UnixMilli()) }
+
+// ticks converts a duration to milliseconds.
+func ticks(d time.Duration) uint32 { return uint32(min(d.Milliseconds(), 1<<31-1)) }
+
+// passed reports whether the time limit lies at or before now.
+func passed(now, limit uint32) bool { return int32(now-limit) >= 0 }
--- /dev/null
+++ b/pkg/balancer/strategy.go
@@ -0,0 +1,59 @@
+package balancer
+
+import (
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/placement"
+)
+
+type (
+	// Strategy chooses who decides for a flow and between which targets.
+	Strategy interface {
+		Route(m *placement.Map, s fleet.ServiceID, h fleet.FlowHash) Route
+	}
+
+	// Route is the choice of a Strategy inside the home zone.
+	Route struct {
+		// Decider is the VM that decides; "" means that any VM does.
+		Decider fleet.VMID
+		// First and Second are the candidates; nil where there is none.
+		First, Second *fleet.Target
+		// Stateless is set where no flow state is kept.
+		Stateless bool
+		// Unlimited is set where the decider has no admission control.
+		Unlimited bool
+	}
+
+	// Table computes the target on every VM and keeps no state.
+	Table struct{}
+	// FlowOwner keeps the state of a flow on the VM that its hash selects.
+	FlowOwner struct{}
+	// TargetOwner lets the owner of the first candidate decide.
+	TargetOwner struct{}
+)
+
+var (
+	_ Strategy = Table{}
+	_ Strategy = FlowOwner{}
+	_ Strategy = TargetOwner{}
+)
+
+// Route returns the first candidate, for any VM.
+func (Table) Route(m *placement.Map, s fleet.ServiceID, h fleet.FlowHash) Route {
+	first, _ := m.Candidates(s, h)
+	return Route{First: first, Stateless: true, Unlimited: true}
+}
+
+// Route returns both candidates and the VM that the flow's hash selects.
+func (FlowOwner) Route(m *placement.Map, s fleet.ServiceID, h fleet.FlowHash) Route {
+	first, second := m.Candidates(s, h)
+	return Route{Decider: m.Relay(m.View().Zone, h), First: first, Second: second, Unlimited: true}
+}
+
+// Route returns both candidates and the owner of the first.
+func (TargetOwner) Route(m *placement.Map, s fleet.ServiceID, h fleet.FlowHash) Route {
+	first, second := m.Candidates(s, h)
+	if first == nil {
+		return Route{}
+	}
+	return Route{Decider: m.Owner(first.ID.Key()), First: first, Second: second}
+}
--- /dev/null
+++ b/pkg/balancer/table.go
@@ -0,0 +1,158 @@
+package balancer
+
+import (
+	"net/netip"
+
+	"bamboowalk.org/bamboowalk/pkg/chart"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+// Flags of a flow entry.
+const (
+	// flagKeyed is set where the entry holds the caller's address; an entry
+	// made from a handover record knows only the hash until a packet arrives.
+	flagKeyed uint8 = 1 << iota
+	// flagSlot is set while the flow counts against a slot of its target.
+	flagSlot
+	// flagTentative is set while an offer may still come back.
+	flagTentative
+	// flagFinCaller and flagFinTarget are set after a FIN from that side.
+	flagFinCaller
+	flagFinTarget
+	// flagReported is set once the flow's exception record is acknowledged.
+	flagReported
+	// flagData is set once a packet other than a start packet passed.
+	flagData
+	// flagIdempotent is set for requests that may run twice.
+	flagIdempotent
+)
+
+// noEntry marks the end of a list and a missing entry.
+const noEntry = ^uint32(0)
+
+type (
+	// flowEntry is the state of one flow, 48 bytes without pointers. Times are
+	// milliseconds modulo 2^32 (see tick).
+	flowEntry struct {
+		hash     fleet.FlowHash
+		caller   [16]byte
+		port     uint16
+		state    chart.State
+		flags    uint8
+		listener uint32 // index of the listener
+		place    uint32 // index of the place where the flow is
+		seen     uint32 // time of the last packet
+		until    uint32 // deadline, or the end of the retention time
+		epoch    uint32 // low bits of the epoch of the offer
+	}
+
+	// flowTable maps flows to entries: open addressing with linear probing over
+	// indices into a slab, so that an entry keeps its index while it lives.
+	flowTable struct {
+		slots   []uint32 // index + 1 of the entry, 0 where free
+		entries []flowEntry
+		free    []uint32
+		max     int
+	}
+)
+
+func newFlowTable(maxFlows int) flowTable {
+	return flowTable{slots: make([]uint32, 1024), max: maxFlows}
+}
+
+func (t *flowTable) len() int { return len(t.entries) - len(t.free) }
+
+// find returns the index of the flow's entry, or noEntry.
+func (t *flowTable) find(h fleet.FlowHash, key *fleet.FlowKey, listeners []listenerInfo) uint32 {
+	mask := uint32(len(t.slots) - 1)
+	for at := slotOf(h) & mask; ; at = (at + 1) & mask {
+		s := t.slots[at]
+		if s == 0 {
+			return noEntry
+		}
+		e := &t.entries[s-1]
+		if e.hash == h && e.matches(key, listeners) {
+			return s - 1
+		}
+	}
+}
+
+// matches compares the whole 5-tuple, since the hash is not keyed and a caller
+// may choose ports that collide.
+func (e *flowEntry) matches(key *fleet.FlowKey, listeners []listenerInfo) bool {
+	if e.flags&flagKeyed == 0 {
+		return true
+	}
+	l := &listeners[e.listener]
+	return e.port == key.Caller.Port() && e.caller == key.Caller.Addr().As16() &&
+		l.Address == key.VIP && l.Protocol == key.Protocol
+}
+
+// add makes an entry for a flow that has none; it returns noEntry where the
+// table is full.
+func (t *flowTable) add(h fleet.FlowHash) uint32 {
+	if t.len() >= t.max {
+		return noEntry
+	}
+	if (t.len()+1)*4 > len(t.slots)*3 {
+		t.grow()
+	}
+	var i uint32
+	if n := len(t.free); n > 0 {
+		i = t.free[n-1]
+		t.free = t.free[:n-1]
+	} else {
+		i = uint32(len(t.entries))
+		t.entries = append(t.entries, flowEntry{})
+	}
+	t.entries[i] = flowEntry{hash: h}
+	t.insert(h, i)
+	return i
+}
+
+func (t *flowTable) insert(h fleet.FlowHash, i uint32) {
+	mask := uint32(len(t.slots) - 1)
+	at := slotOf(h) & mask
+	for t.slots[at] != 0 {
+		at = (at + 1) & mask
+	}
+	t.slots[at] = i + 1
+}
+
+func (t *flowTable) grow() {
+	t.slots = make([]uint32, 2*len(t.slots))
+	for i := range t.entries {
+		if t.entries[i].live() {
+			t.insert(t.entries[i].hash, uint32(i))
+		}
+	}
+}
+
+// remove frees the entry and closes the gap in its probe sequence.
+func (t *flowTable) remove(i uint32) {
+	mask := uint32(len(t.slots) - 1)
+	at := slotOf(t.entries[i].hash) & mask
+	for t.slots[at] != i+1 {
+		at = (at + 1) & mask
+	}
+	for next := (at + 1) & mask; t.slots[next] != 0; next = (next + 1) & mask {
+		home := slotOf(t.entries[t.slots[next]-1].hash) & mask
+		if (next-home)&mask >= (next-at)&mask {
+			t.slots[at] = t.slots[next]
+			at = next
+		}
+	}
+	t.slots[at] = 0
+	t.entries[i] = flowEntry{state: stateGone}
+	t.free = append(t.free, i)
+}
+
+func (e *flowEntry) live() bool { return e.state != stateGone }
+
+// slotOf folds the hash, whose bits are all well mixed.
+func slotOf(h fleet.FlowHash) uint32 { return uint32(h) ^ uint32(h>>32) }
+
+// callerAddr returns the caller's address and port.
+func callerAddr(e *flowEntry) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom16(e.caller).Unmap(), e.port)
+}
--- /dev/null
+++ b/pkg/placement/map.go
@@ -0,0 +1,227 @@
+package placement
+
+import (
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+type (
+	// Map is the placement that follows from one view. It is immutable after
+	// New and may be shared.
+	Map struct {
+		view     *fleet.View
+		members  []member
+		services map[fleet.ServiceID]*service
+		zones    map[fleet.ZoneID][]member
+		owners   map[fleet.TargetKey]owners
+	}
+
+	member struct {
+		id   fleet.VMID
+		hash uint64
+	}
+
+	owners struct{ owner, standby fleet.VMID }
+
+	// service holds the targets that take new flows and the zones that have
+	// the service, with their hashes.
+	service struct {
+		keys    []uint64
+		targets []*fleet.Target
+		zones   []weighted
+		// equal is set where all zones have the same weight, so that the
+		// logarithm in the score is not needed.
+		equal bool
+	}
+
+	weighted struct {
+		zone   *fleet.Zone
+		hash   uint64
+		weight float64
+	}
+)
+
+// New computes the placement of a frozen view.
+func New(v *fleet.View) *Map {
+	m := &Map{
+		view:     v,
+		members:  hashMembers(v.Members),
+		services: make(map[fleet.ServiceID]*service),
+		zones:    make(map[fleet.ZoneID][]member, len(v.Zones)),
+		owners:   make(map[fleet.TargetKey]owners, len(v.Targets)),
+	}
+	for i := range v.Targets {
+		m.addTarget(&v.Targets[i])
+	}
+	for i := range v.Zones {
+		m.addZone(&v.Zones[i])
+	}
+	for _, s := range m.services {
+		s.equal = !slices.ContainsFunc(s.zones, func(w weighted) bool { return w.weight != s.zones[0].weight })
+	}
+	return m
+}
+
+// View returns the view that the map was computed from.
+func (m *Map) View() *fleet.View { return m.view }
+
+// Candidates returns the two targets of the own zone with the highest scores
+// among those that take new flows; either may be nil.
+func (m *Map) Candidates(s fleet.ServiceID, h fleet.FlowHash) (first, second *fleet.Target) {
+	sv := m.services[s]
+	if sv == nil {
+		return nil, nil
+	}
+	i, j := topTwo(uint64(h), sv.keys)
+	if i >= 0 {
+		first = sv.targets[i]
+	}
+	if j >= 0 {
+		second = sv.targets[j]
+	}
+	return first, second
+}
+
+// HomeZone returns the zone that the flow's hash selects among the zones that
+// have the service and are not Out, or nil where there is none.
+func (m *Map) HomeZone(s fleet.ServiceID, h fleet.FlowHash) *fleet.Zone {
+	sv := m.services[s]
+	if sv == nil || len(sv.zones) == 0 {
+		return nil
+	}
+	best, bestScore := 0, math.Inf(-1)
+	for i := range sv.zones {
+		// The top 53 bits convert to a float64 without rounding.
+		u := float64(score(uint64(h), sv.zones[i].hash)>>11) + 0.5
+		if !sv.equal {
+			u = -sv.zones[i].weight / math.Log(u/(1<<53))
+		}
+		if u > bestScore {
+			best, bestScore = i, u
+		}
+	}
+	return sv.zones[best].zone
+}
+
+// Relay returns the member of a zone that takes the packets of the flow that
+// come from other zones, or "" where the zone has no known member.
+func (m *Map) Relay(z fleet.ZoneID, h fleet.FlowHash) fleet.VMID {
+	o, _ := rank(m.zones[z], uint64(h))
+	return o
+}
+
+// Owner returns the member that decides for the target, or "" in an empty
+// view. The target need not be part of the view.
+func (m *Map) Owner(t fleet.TargetKey) fleet.VMID {
+	if o, ok := m.owners[t]; ok {
+		return o.owner
+	}
+	o, _ := rank(m.members, uint64(t))
+	return o
+}
+
+// Standby returns the member next in the order of the target's owners, or ""
+// where the zone has one member.
+func (m *Map) Standby(t fleet.TargetKey) fleet.VMID {
+	if o, ok := m.owners[t]; ok {
+		return o.standby
+	}
+	_, s := rank(m.members, uint64(t))
+	return s
+}
+
+// SameCandidates reports whether the service has the same set of targets that
+// take new flows in both maps.
+func (m *Map) SameCandidates(other *Map, s fleet.ServiceID) bool {
+	a, b := m.services[s], other.services[s]
+	if a == nil || b == nil {
+		return (a == nil || len(a.keys) == 0) && (b == nil || len(b.keys) == 0)
+	}
+	return slices.Equal(a.keys, b.keys)
+}
+
+func (m *Map) addTarget(t *fleet.Target) {
+	key := t.ID.Key()
+	o, s := rank(m.members, uint64(key))
+	m.owners[key] = owners{owner: o, standby: s}
+	if !t.TakesNewFlows() {
+		return
+	}
+	sv := m.service(t.ID.Service)
+	sv.keys = append(sv.keys, uint64(key))
+	sv.targets = append(sv.targets, t)
+}
+
+func (m *Map) addZone(z *fleet.Zone) {
+	m.zones[z.ID] = hashMembers(z.Members)
+	if z.State == fleet.Out || !(z.Weight > 0) {
+		return
+	}
+	for _, id := range z.Services {
+		sv := m.service(id)
+		sv.zones = append(sv.zones, weighted{zone: z, hash: xxhash.Sum64String(string(z.ID)), weight: z.Weight})
+	}
+}
+
+func (m *Map) service(id fleet.ServiceID) *service {
+	sv := m.services[id]
+	if sv == nil {
+		sv = &service{}
+		m.services[id] = sv
+	}
+	return sv
+}
+
+func hashMembers(vms []fleet.VM) []member {
+	members := make([]member, len(vms))
+	for i := range vms {
+		members[i] = member{id: vms[i].ID, hash: xxhash.Sum64String(string(vms[i].ID))}
+	}
+	return members
+}
+
+func rank(members []member, key uint64) (first, second fleet.VMID) {
+	var a, b uint64
+	for i := range members {
+		s := score(key, members[i].hash)
+		switch {
+		case first == "" || s > a:
+			second, b = first, a
+			first, a = members[i].id, s
+		case second == "" || s > b:
+			second, b = members[i].id, s
+		}
+	}
+	return first, second
+}
+
+func topTwo(h uint64, keys []uint64) (first, second int) {
+	first, second = -1, -1
+	var a, b uint64
+	for i, key := range keys {
+		s := score(h, key)
+		switch {
+		case first < 0 || s > a:
+			second, b = first, a
+			first, a = i, s
+		case second < 0 || s > b:
+			second, b = i, s
+		}
+	}
+	return first, second
+}
+
+// score mixes two hashes with the finalizer of splitmix64; equal pairs give
+// equal scores on all VMs.
+func score(a, b uint64) uint64 {
+	x := a ^ (b * 0x9e3779b97f4a7c15)
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
