--- /dev/null
+++ b/pkg/balancer/held.go
@@ -0,0 +1,199 @@
+package balancer
+
+import (
+	"slices"
+	"time"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+type (
+	// heldPackets are copies of the packets that wait: start packets of queued
+	// flows by entry, and start packets of non-idempotent requests without an
+	// entry that may not be decided yet. Both count against the same bounds.
+	heldPackets struct {
+		byEntry    map[uint32]heldPacket
+		undecided  []heldPacket
+		waits      map[fleet.FlowHash]bool // flows in undecided
+		bytes      int
+		maxPackets int
+		maxBytes   int
+		// changed is set where the view changed since the last Tick.
+		changed bool
+		retries []retryTime
+	}
+
+	heldPacket struct {
+		packet   Packet
+		deadline time.Time
+	}
+
+	retryTime struct {
+		entry uint32
+		due   time.Time
+	}
+)
+
+func newHeldPackets(maxPackets, maxBytes int) heldPackets {
+	return heldPackets{
+		byEntry:    make(map[uint32]heldPacket),
+		waits:      make(map[fleet.FlowHash]bool),
+		maxPackets: maxPackets,
+		maxBytes:   maxBytes,
+	}
+}
+
+func (h *heldPackets) len() int { return len(h.byEntry) + len(h.undecided) }
+
+func (h *heldPackets) fits(n int) bool { return h.len() < h.maxPackets && h.bytes+n <= h.maxBytes }
+
+// put holds a copy of the packet for an entry.
+func (h *heldPackets) put(i uint32, p *Packet) {
+	h.byEntry[i] = heldPacket{packet: copyPacket(p)}
+	h.bytes += len(p.Payload)
+}
+
+// take gives the packet of an entry up.
+func (h *heldPackets) take(i uint32) Packet {
+	p := h.byEntry[i].packet
+	delete(h.byEntry, i)
+	h.bytes -= len(p.Payload)
+	return p
+}
+
+func (h *heldPackets) retryAt(i uint32, due time.Time) {
+	h.retries = append(h.retries, retryTime{entry: i, due: due})
+}
+
+func copyPacket(p *Packet) Packet {
+	c := *p
+	c.Source, c.Start, c.End = FromFabric, true, NoEnd
+	c.Header = PassHeader{Hops: p.Header.Hops}
+	c.Payload = slices.Clone(p.Payload)
+	return c
+}
+
+// hold keeps a non-idempotent start packet until this VM may decide.
+func (b *Balancer) hold(p *Packet, l *fleet.Listener, now time.Time, out []Action) []Action {
+	h := &b.held
+	if h.waits[p.hash] {
+		return b.drop(p, CauseQueued, out)
+	}
+	if !h.fits(len(p.Payload)) {
+		return b.drop(p, CauseHeldFull, out)
+	}
+	h.waits[p.hash] = true
+	h.bytes += len(p.Payload)
+	h.undecided = append(h.undecided, heldPacket{packet: copyPacket(p), deadline: now.Add(l.Kind.Deadline)})
+	return out
+}
+
+// releaseHeld routes the held packets that may be decided now, drops those
+// whose deadline passed, and starts the retries that are due.
+func (b *Balancer) releaseHeld(now time.Time, out []Action) []Action {
+	out = b.releaseRetries(now, out)
+	h := &b.held
+	if len(h.undecided) == 0 {
+		return out
+	}
+	waiting := h.undecided
+	h.undecided = nil
+	for i := range waiting {
+		w := &waiting[i]
+		switch {
+		case !now.Before(w.deadline):
+			b.unhold(&w.packet)
+			out = b.drop(&w.packet, CauseUnsealed, out)
+		case b.released(&w.packet, now):
+			b.unhold(&w.packet)
+			out = b.route(&w.packet, now, out)
+		default:
+			h.undecided = append(h.undecided, *w)
+		}
+	}
+	return out
+}
+
+func (b *Balancer) unhold(p *Packet) {
+	delete(b.held.waits, p.hash)
+	b.held.bytes -= len(p.Payload)
+}
+
+// released reports whether a held packet can go on: this VM may decide, or
+// another VM must.
+func (b *Balancer) released(p *Packet, now time.Time) bool {
+	l := b.view.Listener(p.Flow.VIP, p.Flow.Protocol)
+	if l == nil || b.find(p) != noEntry {
+		return true
+	}
+	r := b.cfg.Strategy.Route(b.placement, l.Service, p.hash)
+	return r.Decider != b.self || b.mayDecide(l.Service, p.hash, r, now)
+}
+
+func (b *Balancer) releaseRetries(now time.Time, out []Action) []Action {
+	h := &b.held
+	if len(h.retries) == 0 {
+		return out
+	}
+	waiting := h.retries
+	h.retries = nil
+	for _, r := range waiting {
+		e := &b.flows.entries[r.entry]
+		_, holds := h.byEntry[r.entry]
+		switch {
+		case e.state != stateQueued || e.flags&flagRetried == 0 || !holds:
+		case now.Before(r.due):
+			h.retries = append(h.retries, r)
+		default:
+			out = b.retry(r.entry, now, out)
+		}
+	}
+	return out
+}
+
+// moveQueued passes the queued requests on that another VM, or another target
+// of this VM, must decide about after a change of view. They surely ran
+// nowhere.
+func (b *Balancer) moveQueued(now time.Time, out []Action) []Action {
+	if !b.held.changed {
+		return out
+	}
+	b.held.changed = false
+	moved := make([]uint32, 0, len(b.held.byEntry))
+	for i := range b.held.byEntry {
+		if b.mustMove(&b.flows.entries[i]) {
+			moved = append(moved, i)
+		}
+	}
+	// The order of a map is random; runs with a fixed seed must not be.
+	slices.Sort(moved)
+	for _, i := range moved {
+		e := &b.flows.entries[i]
+		key, hash := b.keyOf(e), e.hash
+		if lim := b.places.all[e.place].limiter; lim != nil {
+			lim.Cancel(key, now)
+		}
+		p := b.held.take(i)
+		p.Flow, p.hash = key, hash
+		shed := e.flags&flagRetried != 0
+		once := !b.listeners.all[e.listener].Kind.Idempotent
+		b.step(e, eventCancel)
+		b.removeFlow(i, Cancelled, now)
+		if shed && once {
+			// A target had it already; it is not forwarded to a second one.
+			out = b.drop(&p, CauseShed, out)
+			continue
+		}
+		out = b.unknown(&p, now, out)
+	}
+	return out
+}
+
+func (b *Balancer) mustMove(e *flowEntry) bool {
+	pl := &b.places.all[e.place]
+	if !pl.owned {
+		return true
+	}
+	r := b.cfg.Strategy.Route(b.placement, b.listeners.all[e.listener].Service, e.hash)
+	return r.First.Key != pl.key
+}
--- /dev/null
+++ b/pkg/balancer/outbox.go
@@ -0,0 +1,143 @@
+package balancer
+
+import (
+	"time"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+const (
+	// resendFirst doubles with each repetition up to resendMost.
+	resendFirst = 200 * time.Millisecond
+	resendMost  = 2 * time.Second
+	// maxTries bounds the repetitions of a message, to about 15 s.
+	maxTries = 10
+	// maxOutbox bounds the messages that wait; the oldest go first.
+	maxOutbox = 8192
+)
+
+type (
+	// outbox holds control messages until they are acknowledged.
+	outbox struct {
+		messages []outMessage
+		bytes    int // of messages that were not sent yet
+		seq      uint64
+		rate     fleet.BytesPerSecond
+		tokens   float64
+		filled   time.Time
+	}
+
+	outMessage struct {
+		to       fleet.VMID
+		seq      uint64
+		body     []byte
+		due      time.Time
+		tries    int
+		transfer *transferOut
+		history  bool
+	}
+)
+
+// send puts a message into the outbox.
+func (b *Balancer) send(to fleet.VMID, m controlMessage, t *transferOut, now time.Time) {
+	o := &b.outbox
+	if len(o.messages) >= maxOutbox {
+		return
+	}
+	o.seq++
+	body := encodeControl(m, o.seq)
+	o.bytes += len(body)
+	_, history := m.(*historyMessage)
+	o.messages = append(o.messages, outMessage{to: to, seq: o.seq, body: body, due: now, transfer: t, history: history})
+}
+
+// forget removes the messages of a transfer that begins again.
+func (o *outbox) forget(t *transferOut) {
+	o.filter(func(m *outMessage) bool { return m.transfer != t })
+}
+
+func (o *outbox) filter(keep func(m *outMessage) bool) {
+	kept := o.messages[:0]
+	for i := range o.messages {
+		m := &o.messages[i]
+		if keep(m) {
+			kept = append(kept, *m)
+		} else if m.tries == 0 {
+			o.bytes -= len(m.body)
+		}
+	}
+	clear(o.messages[len(kept):])
+	o.messages = kept
+}
+
+// sendOutbox appends the messages that are due, as far as the rate allows.
+func (b *Balancer) sendOutbox(now time.Time, out []Action) []Action {
+	o := &b.outbox
+	o.refill(now)
+	if len(o.messages) == 0 {
+		return out
+	}
+	tired := false
+	for i := range o.messages {
+		m := &o.messages[i]
+		if now.Before(m.due) {
+			continue
+		}
+		if m.tries >= maxTries {
+			tired = true
+			continue
+		}
+		if o.tokens < 0 {
+			break
+		}
+		out = b.transmit(m, now, out)
+	}
+	if tired {
+		o.filter(func(m *outMessage) bool { return m.tries < maxTries })
+	}
+	return out
+}
+
+func (b *Balancer) transmit(m *outMessage, now time.Time, out []Action) []Action {
+	if m.tries == 0 {
+		b.outbox.bytes -= len(m.body)
+	}
+	wait := min(resendFirst<<m.tries, resendMost)
+	m.tries++
+	m.due = now.Add(wait)
+	b.outbox.tokens -= float64(len(m.body))
+	b.stats.ControlMessages++
+	b.stats.ControlBytes += uint64(len(m.body))
+	return append(out, Action{Op: Control, Peer: m.to, Payload: m.body})
+}
+
+// refill adds tokens, at most those of a quarter of a second.
+func (o *outbox) refill(now time.Time) {
+	if !o.filled.IsZero() {
+		o.tokens += now.Sub(o.filled).Seconds() * float64(o.rate)
+	}
+	o.tokens = min(o.tokens, float64(o.rate)/4)
+	o.filled = now
+}
+
+// acked removes an acknowledged message.
+func (b *Balancer) acked(from fleet.VMID, seq uint64) {
+	var found *outMessage
+	b.outbox.filter(func(m *outMessage) bool {
+		if m.seq != seq || m.to != from {
+			return true
+		}
+		c := *m
+		found = &c
+		return false
+	})
+	if found == nil {
+		return
+	}
+	if found.history {
+		b.historyAcked(from)
+	}
+	if found.transfer != nil {
+		b.transferAcked(found.transfer)
+	}
+}
--- a/pkg/balancer/packet.go
+++ b/pkg/balancer/packet.go
@@ -49,6 +49,9 @@
 	Overflow
 	// Answer carries a target's answer to the owner of its flow.
 	Answer
+	// Refusal lets the standby of the first candidate's owner record a refusal
+	// and send it to the caller, so that it is known after a crash of the owner.
+	Refusal
 )
 
 // Operations that the adapter carries out.
@@ -65,6 +68,8 @@
 	Reply
 	// Cancel tells a target that the request was cancelled.
 	Cancel
+	// Control sends the payload, a control message, to another entry VM.
+	Control
 )
 
 // MaxHops is the number of passes after which a packet is dropped.
@@ -95,13 +100,19 @@
 		// Start is set for a TCP SYN and a QUIC Initial, and for every packet
 		// of another UDP protocol.
 		Start bool
-		End   End
+		// Instance tells a new request from a retransmission where a caller uses
+		// a port again: the sequence number of a TCP SYN, a hash of the
+		// destination connection id of a QUIC Initial, and 0 where there is none.
+		Instance uint32
+		End      End
 		// Target is the sender where Source is FromTarget.
 		Target fleet.TargetID
 		// Header is set where Source is FromPeer.
 		Header PassHeader
-		// Payload is the inner IP packet; the core copies what it holds.
+		// Payload is the inner IP packet; the core copies what it holds. With
+		// Shed it is the start packet where the target gave it back.
 		Payload []byte
+		hash    fleet.FlowHash
 	}
 
 	// Action tells the adapter what to do with a packet.
@@ -142,6 +153,9 @@
 	}
 )
 
+// starts reports whether the packet may be the first of its flow.
+func (p *Packet) starts() bool { return p.Start || p.Flow.Protocol == fleet.UDP }
+
 // Error returns the offset and the reason.
 func (e *HeaderError) Error() string {
 	return fmt.Sprintf("pass header, offset %d: %s", e.Offset, e.Reason)
@@ -190,7 +204,7 @@
 
 // Validate returns a HeaderError for an unknown mode.
 func (h *PassHeader) Validate() error {
-	if h.Mode < ToFirst || h.Mode > Answer {
+	if h.Mode < ToFirst || h.Mode > Refusal {
 		return &HeaderError{Offset: 1, Reason: "has an unknown mode"}
 	}
 	return nil
--- a/pkg/balancer/state.go
+++ b/pkg/balancer/state.go
@@ -9,14 +9,16 @@
 var (
 	flowChart = chart.MustLoad(chart.Flow)
 
-	stateNew     = flowChart.MustState("New")
-	stateQueued  = flowChart.MustState("Queued")
-	stateRunning = flowChart.MustState("Running")
-	stateEnding  = flowChart.MustState("Ending")
-	stateRefused = flowChart.MustState("Refused")
-	stateUnknown = flowChart.MustState("Unknown")
-	stateAway    = flowChart.MustState("Away")
-	stateGone    = flowChart.MustState("Gone")
+	stateQueued   = flowChart.MustState("Queued")
+	stateRunning  = flowChart.MustState("Running")
+	stateEnding   = flowChart.MustState("Ending")
+	stateEnded    = flowChart.MustState("Ended")
+	stateRefused  = flowChart.MustState("Refused")
+	stateReturned = flowChart.MustState("Returned")
+	stateAway     = flowChart.MustState("Away")
+	stateMoved    = flowChart.MustState("Moved")
+	stateUnknown  = flowChart.MustState("Unknown")
+	stateGone     = flowChart.MustState("Gone")
 
 	eventForward = flowChart.MustEvent("Forward")
 	eventQueue   = flowChart.MustEvent("Queue")
@@ -24,17 +26,21 @@
 	eventAdopt   = flowChart.MustEvent("Adopt")
 	eventLose    = flowChart.MustEvent("Lose")
 	eventEnd     = flowChart.MustEvent("End")
+	eventFinish  = flowChart.MustEvent("Finish")
+	eventShed    = flowChart.MustEvent("Shed")
 	eventCancel  = flowChart.MustEvent("Cancel")
 	eventClose   = flowChart.MustEvent("Close")
 	eventOffer   = flowChart.MustEvent("Offer")
 	eventReturn  = flowChart.MustEvent("Return")
+	eventTake    = flowChart.MustEvent("Take")
+	eventMove    = flowChart.MustEvent("Move")
 )
 
 // tick converts a time to milliseconds modulo 2^32, about 49 days.
 func tick(t time.Time) uint32 { return uint32(t.UnixMilli()) }
 
 // ticks converts a duration to milliseconds.
-func ticks(d time.Duration) uint32 { return uint32(min(d.Milliseconds(), 1<<31-1)) }
+func ticks(d time.Duration) uint32 { return uint32(min(d.Milliseconds(), 1<<30)) }
 
 // passed reports whether the time limit lies at or before now.
 func passed(now, limit uint32) bool { return int32(now-limit) >= 0 }
--- a/pkg/balancer/strategy.go
+++ b/pkg/balancer/strategy.go
@@ -15,12 +15,13 @@
 	Route struct {
 		// Decider is the VM that decides; "" means that any VM does.
 		Decider fleet.VMID
-		// First and Second are the candidates; nil where there is none.
-		First, Second *fleet.Target
+		// First and Second are the candidates.
+		First, Second placement.Candidate
 		// Stateless is set where no flow state is kept.
 		Stateless bool
-		// Unlimited is set where the decider has no admission control.
-		Unlimited bool
+		// Unowned is set where no VM owns a target, so that the decider has no
+		// admission control and knows only its own flows.
+		Unowned bool
 	}
 
 	// Table computes the target on every VM and keeps no state.
@@ -40,20 +41,17 @@
 // Route returns the first candidate, for any VM.
 func (Table) Route(m *placement.Map, s fleet.ServiceID, h fleet.FlowHash) Route {
 	first, _ := m.Candidates(s, h)
-	return Route{First: first, Stateless: true, Unlimited: true}
+	return Route{First: first, Stateless: true, Unowned: true}
 }
 
 // Route returns both candidates and the VM that the flow's hash selects.
 func (FlowOwner) Route(m *placement.Map, s fleet.ServiceID, h fleet.FlowHash) Route {
 	first, second := m.Candidates(s, h)
-	return Route{Decider: m.Relay(m.View().Zone, h), First: first, Second: second, Unlimited: true}
+	return Route{Decider: m.Owner(fleet.TargetKey(h)), First: first, Second: second, Unowned: true}
 }
 
 // Route returns both candidates and the owner of the first.
 func (TargetOwner) Route(m *placement.Map, s fleet.ServiceID, h fleet.FlowHash) Route {
 	first, second := m.Candidates(s, h)
-	if first == nil {
-		return Route{}
-	}
-	return Route{Decider: m.Owner(first.ID.Key()), First: first, Second: second}
+	return Route{Decider: first.Owner, First: first, Second: second}
 }
--- a/pkg/balancer/table.go
+++ b/pkg/balancer/table.go
@@ -9,22 +9,21 @@
 
 // Flags of a flow entry.
 const (
-	// flagKeyed is set where the entry holds the caller's address; an entry
-	// made from a handover record knows only the hash until a packet arrives.
-	flagKeyed uint8 = 1 << iota
 	// flagSlot is set while the flow counts against a slot of its target.
-	flagSlot
+	flagSlot uint8 = 1 << iota
 	// flagTentative is set while an offer may still come back.
 	flagTentative
-	// flagFinCaller and flagFinTarget are set after a FIN from that side.
+	// flagFinCaller and flagFinTarget are set after a FIN from that side; on an
+	// entry that is Away, flagFinCaller is also set after a reset.
 	flagFinCaller
 	flagFinTarget
-	// flagReported is set once the flow's exception record is acknowledged.
-	flagReported
-	// flagData is set once a packet other than a start packet passed.
-	flagData
-	// flagIdempotent is set for requests that may run twice.
-	flagIdempotent
+	// flagSure is set where a refusal may say NotRun, since no other VM can have
+	// forwarded the flow.
+	flagSure
+	// flagReplicated is set once the standby was sent the exception.
+	flagReplicated
+	// flagRetried is set on a flow that waits for the retry of a shed request.
+	flagRetried
 )
 
 // noEntry marks the end of a list and a missing entry.
@@ -37,13 +36,14 @@
 		hash     fleet.FlowHash
 		caller   [16]byte
 		port     uint16
+		listener uint16 // index of the listener
+		place    uint16 // index of the place where the flow is, or of the VM that it moved to
 		state    chart.State
 		flags    uint8
-		listener uint32 // index of the listener
-		place    uint32 // index of the place where the flow is
 		seen     uint32 // time of the last packet
 		until    uint32 // deadline, or the end of the retention time
-		epoch    uint32 // low bits of the epoch of the offer
+		epoch    uint32 // low bits of the epoch of the last offer, or of the VM that it moved to
+		instance uint32 // instance of the start packet, 0 where it is not known
 	}
 
 	// flowTable maps flows to entries: open addressing with linear probing over
@@ -56,8 +56,11 @@
 	}
 )
 
+// firstSlots is the size of an empty table; it doubles at three quarters.
+const firstSlots = 1024
+
 func newFlowTable(maxFlows int) flowTable {
-	return flowTable{slots: make([]uint32, 1024), max: maxFlows}
+	return flowTable{slots: make([]uint32, firstSlots), max: maxFlows}
 }
 
 func (t *flowTable) len() int { return len(t.entries) - len(t.free) }
@@ -70,8 +73,7 @@
 		if s == 0 {
 			return noEntry
 		}
-		e := &t.entries[s-1]
-		if e.hash == h && e.matches(key, listeners) {
+		if e := &t.entries[s-1]; e.hash == h && e.matches(key, listeners) {
 			return s - 1
 		}
 	}
@@ -80,9 +82,6 @@
 // matches compares the whole 5-tuple, since the hash is not keyed and a caller
 // may choose ports that collide.
 func (e *flowEntry) matches(key *fleet.FlowKey, listeners []listenerInfo) bool {
-	if e.flags&flagKeyed == 0 {
-		return true
-	}
 	l := &listeners[e.listener]
 	return e.port == key.Caller.Port() && e.caller == key.Caller.Addr().As16() &&
 		l.Address == key.VIP && l.Protocol == key.Protocol
--- a/pkg/placement/map.go
+++ b/pkg/placement/map.go
@@ -27,12 +27,20 @@
 
 	owners struct{ owner, standby fleet.VMID }
 
+	// Candidate is a target that a flow may be placed on; Target is nil where
+	// there is no such target.
+	Candidate struct {
+		Target         *fleet.Target
+		Key            fleet.TargetKey
+		Owner, Standby fleet.VMID
+	}
+
 	// service holds the targets that take new flows and the zones that have
 	// the service, with their hashes.
 	service struct {
-		keys    []uint64
-		targets []*fleet.Target
-		zones   []weighted
+		keys       []uint64
+		candidates []Candidate
+		zones      []weighted
 		// equal is set where all zones have the same weight, so that the
 		// logarithm in the score is not needed.
 		equal bool
@@ -70,18 +78,18 @@
 func (m *Map) View() *fleet.View { return m.view }
 
 // Candidates returns the two targets of the own zone with the highest scores
-// among those that take new flows; either may be nil.
-func (m *Map) Candidates(s fleet.ServiceID, h fleet.FlowHash) (first, second *fleet.Target) {
+// among those that take new flows.
+func (m *Map) Candidates(s fleet.ServiceID, h fleet.FlowHash) (first, second Candidate) {
 	sv := m.services[s]
 	if sv == nil {
-		return nil, nil
+		return first, second
 	}
 	i, j := topTwo(uint64(h), sv.keys)
 	if i >= 0 {
-		first = sv.targets[i]
+		first = sv.candidates[i]
 	}
 	if j >= 0 {
-		second = sv.targets[j]
+		second = sv.candidates[j]
 	}
 	return first, second
 }
@@ -134,14 +142,33 @@
 	return s
 }
 
-// SameCandidates reports whether the service has the same set of targets that
-// take new flows in both maps.
-func (m *Map) SameCandidates(other *Map, s fleet.ServiceID) bool {
-	a, b := m.services[s], other.services[s]
-	if a == nil || b == nil {
-		return (a == nil || len(a.keys) == 0) && (b == nil || len(b.keys) == 0)
+// SameChoices reports whether both maps give every flow the same home zone and
+// the same candidates; owners may differ.
+func (m *Map) SameChoices(other *Map) bool {
+	if len(m.services) != len(other.services) {
+		return false
+	}
+	for id, a := range m.services {
+		b := other.services[id]
+		if b == nil || !slices.Equal(a.keys, b.keys) || !sameZones(a.zones, b.zones) {
+			return false
+		}
+	}
+	return true
+}
+
+// SameZones reports whether both maps give every flow the same home zone.
+func (m *Map) SameZones(other *Map) bool {
+	for id, a := range m.services {
+		if b := other.services[id]; b == nil || !sameZones(a.zones, b.zones) {
+			return false
+		}
 	}
-	return slices.Equal(a.keys, b.keys)
+	return true
+}
+
+func sameZones(a, b []weighted) bool {
+	return slices.EqualFunc(a, b, func(x, y weighted) bool { return x.hash == y.hash && x.weight == y.weight })
 }
 
 func (m *Map) addTarget(t *fleet.Target) {
@@ -153,7 +180,7 @@
 	}
 	sv := m.service(t.ID.Service)
 	sv.keys = append(sv.keys, uint64(key))
-	sv.targets = append(sv.targets, t)
+	sv.candidates = append(sv.candidates, Candidate{Target: t, Key: key, Owner: o, Standby: s})
 }
 
 func (m *Map) addZone(z *fleet.Zone) {
