Add admission control for one target

Shares are held as earned slot time, since 2 or 3 slots can't be divided; long requests leave a slot to more urgent kinds.

--- /dev/null
+++ b/pkg/admission/doc.go
@@ -0,0 +1,31 @@
+// Package admission decides which requests a target runs, which wait and which
+// are refused. A Limiter holds the slots, the in-flight limit and the short
+// queue of one target at its owner. RetryBudget and Backoff bound retries,
+// Edge refuses the least urgent work at entry VMs that hear of an overloaded
+// owner, Guard bounds what SYN floods and garbage cost an entry VM, and Pool
+// divides the packet memory of an entry VM between teams.
+//
+// All types are deterministic: they read no clock, start no goroutine and take
+// no lock. Each value is used by one goroutine only.
+//
+// # Shares
+//
+// A target has 2 or 3 slots, so a share can't be a number of slots. Each kind
+// earns slot time at Share times the limit, and a request that starts while
+// its kind has credit is charged the slot time that it used. A kind with
+// credit goes before a kind without; among kinds with credit, and among kinds
+// without, the more urgent goes first. Slot time that nobody with credit wants
+// is lent and is not charged, so that a kind that borrowed keeps its floor.
+//
+// A slot that runs a request can't be called back. A kind whose requests take
+// longer than a quarter of the deadline of a more urgent kind with a share
+// therefore never fills the last slots, even where those are idle.
+//
+// # Order within a kind
+//
+// Callers take turns by start-time fair queueing over hashed caller addresses
+// (IPv6 by /64 prefix); among the requests of one caller the earliest deadline
+// goes first. When the queue of a kind is full, an arrival of a caller that
+// has fewer requests in it replaces the latest of the caller that has most. A
+// request is never evicted by a request of another kind.
+package admission
