Add the experiment tool in virtual time

Change: internal/load with workloads in TOML, stand-ins for callers, fabric and targets, a small model of each strategy around pkg/admission, baselines, results as JSON and HTML, and compare. In pkg/admission the wait of a kind with a share is estimated at its guaranteed rate, and fairness puts a request off by at most an eighth of its deadline.

--- /dev/null
+++ b/internal/load/place.go
@@ -0,0 +1,75 @@
+package load
+
+import (
+	"encoding/binary"
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+// score is the rendezvous score of a place for a flow or target.
+func score(a, b uint64) uint64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], a)
+	binary.LittleEndian.PutUint64(buf[8:], b)
+	return xxhash.Sum64(buf[:])
+}
+
+// homeZone selects the zone of a flow by weighted rendezvous hashing.
+func homeZone(v *fleet.View, s fleet.ServiceID, h fleet.FlowHash) *fleet.Zone {
+	var best *fleet.Zone
+	most := math.Inf(-1)
+	for i := range v.Zones {
+		z := &v.Zones[i]
+		if z.State == fleet.Out || !hasService(z, s) {
+			continue
+		}
+		u := (float64(score(uint64(h), xxhash.Sum64String(string(z.ID)))>>11) + 0.5) / (1 << 53)
+		if w := -z.Weight / math.Log(u); w > most {
+			best, most = z, w
+		}
+	}
+	return best
+}
+
+func hasService(z *fleet.Zone, s fleet.ServiceID) bool {
+	for _, id := range z.Services {
+		if id == s {
+			return true
+		}
+	}
+	return false
+}
+
+// candidates returns the two targets of the own zone with the highest score.
+func candidates(v *fleet.View, s fleet.ServiceID, h fleet.FlowHash) (first, second *fleet.Target) {
+	var a, b uint64
+	for _, t := range v.ServiceTargets(s) {
+		if !t.TakesNewFlows() {
+			continue
+		}
+		x := score(uint64(h), uint64(t.ID.Key()))
+		switch {
+		case first == nil || x > a:
+			first, second, a, b = t, first, x, a
+		case second == nil || x > b:
+			second, b = t, x
+		}
+	}
+	return first, second
+}
+
+// memberFor selects a VM by rendezvous hashing of a flow or target.
+func memberFor(members []fleet.VM, h uint64) fleet.VMID {
+	var best fleet.VMID
+	most := uint64(0)
+	for i := range members {
+		x := score(h, xxhash.Sum64String(string(members[i].ID)))
+		if best == "" || x > most {
+			best, most = members[i].ID, x
+		}
+	}
+	return best
+}
--- a/pkg/admission/class.go
+++ b/pkg/admission/class.go
@@ -15,6 +15,10 @@
 // that a flood from many addresses can create.
 const callerBuckets = 256
 
+// mostPutOff is the part of its deadline by which a request may be put off in
+// favour of other callers.
+const mostPutOff = 0.125
+
 type (
 	// class is the state of one kind at one target.
 	class struct {
@@ -122,12 +126,13 @@
 	c.bytes = 0
 }
 
-// pop removes the request whose caller's turn it is; the queue is not empty.
+// pop removes the request that goes next; the queue is not empty.
 func (c *class) pop(now time.Time) Request {
 	best := 0
+	key := c.order(&c.queue[0])
 	for i := 1; i < len(c.queue); i++ {
-		if c.before(&c.queue[i], &c.queue[best]) {
-			best = i
+		if k := c.order(&c.queue[i]); k.Before(key) {
+			best, key = i, k
 		}
 	}
 	r := c.remove(best)
@@ -139,13 +144,12 @@
 	return r
 }
 
-func (c *class) before(a, b *waiting) bool {
-	x := max(c.turns[a.caller], c.now)
-	y := max(c.turns[b.caller], c.now)
-	if x != y {
-		return x < y
-	}
-	return a.request.Deadline.Before(b.request.Deadline)
+// order is the deadline of a waiting request, put off by the service times
+// that its caller is ahead of others. The bound keeps the requests of a busy
+// hash bucket from being overtaken until they expire.
+func (c *class) order(w *waiting) time.Time {
+	ahead := max(0, c.turns[w.caller]-c.now) * c.service
+	return w.request.Deadline.Add(seconds(min(ahead, mostPutOff*c.kind.Deadline.Seconds())))
 }
 
 // turn charges a caller for one start.
--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -350,8 +350,9 @@
 }
 
 // expectedWait estimates how long a new request of the class would wait: the
-// work of its own and more urgent kinds ahead of it at the full limit, or at
-// the rate that the kind was given lately, whichever is longer.
+// work of its own and more urgent kinds ahead of it at the full limit, or the
+// work of its own kind at the guaranteed share, whichever is shorter; and at
+// least its own queue at the rate that the kind was given lately.
 func (l *Limiter) expectedWait(c *class, limit int) time.Duration {
 	work := 0.0
 	free := limit
@@ -364,7 +365,11 @@
 		}
 	}
 	wait := work / float64(max(1, free))
-	return seconds(max(wait, float64(len(c.queue))*c.gap))
+	queue := float64(len(c.queue))
+	if c.share > 0 {
+		wait = min(wait, queue*c.service/(c.share*float64(limit)))
+	}
+	return seconds(max(wait, queue*c.gap))
 }
 
 // Next starts the waiting requests for which slots are free and removes those
