--- a/pkg/admission/adaptive.go
+++ b/pkg/admission/adaptive.go
@@ -6,14 +6,15 @@
 
 const (
 	// delayRatio is the ratio of recent to usual service time above which the
-	// target counts as slowed down. Service times vary by a factor of about 1
-	// around their mean, which moves the smoothed ratio by about 0.2.
+	// target counts as slowed down. Exponential service times move the smoothed
+	// ratio by 0.1 (standard deviation).
 	delayRatio = 2.0
-	// ratioGain weighs a new ratio of service times.
-	ratioGain = 0.05
+	// ratioGain weighs a new ratio of service times. With 0.05 chance alone
+	// lowered the limit of a target now and then.
+	ratioGain = 0.02
 	// normalSamples is the number of observations before a service time counts
-	// as usual.
-	normalSamples = 32
+	// as usual. Fewer give a mean that is off by 10 % or more.
+	normalSamples = 128
 	// normalGain weighs a new observation of the usual service time, so that
 	// a lasting change counts as usual after a few hundred requests.
 	normalGain = 0.005
@@ -97,15 +98,11 @@
 }
 
 func (l *Limiter) observeDelay(c *class, used float64) {
-	if c.samples < normalSamples {
-		c.samples++
-		c.normal += (used - c.normal) / float64(c.samples)
-		return
-	}
-	if c.normal > 0 {
+	if c.samples >= normalSamples && c.normal > 0 {
 		l.adaptive.ratio += ratioGain * (used/c.normal - l.adaptive.ratio)
 	}
-	c.normal += normalGain * (used - c.normal)
+	c.samples++
+	c.normal += max(normalGain, 1/float64(c.samples)) * (used - c.normal)
 }
 
 // adapt lowers the limit to no less than half of the capacity on delay alone,
--- a/pkg/admission/class.go
+++ b/pkg/admission/class.go
@@ -35,7 +35,7 @@
 		passed  float64 // slot seconds started, divided by the weight
 		service float64 // mean seconds in a slot
 		normal  float64 // slow mean of the same
-		samples int     // observations of normal, up to normalSamples
+		samples int     // observations of normal
 		gap     float64 // mean seconds between starts while requests waited
 
 		backlogged bool // requests waited when the last one was started
