Keep the floor of the other kinds in a flood of the most urgent

Credit is charged until the answer has come to the owner, 0.4 ms longer than the target works; and the edge refused lookups because orders, which it never refuses, kept the one pressure high.

Change: where shares sum up to less than 1, they earn up to a tenth more. Pressure is kept and heard for each kind (Limiter.PressureOf, Edge.Hear with the kind), so that a kind is refused at the edge only once owners refuse more than half of that kind.

--- a/internal/load/baseline.go
+++ b/internal/load/baseline.go
@@ -163,5 +163,5 @@
 
 func (b *baseline) Configure(fleet.Target, []fleet.Kind, time.Time) []admission.Request { return nil }
 func (b *baseline) Takeover(int, time.Time)                                             {}
-func (b *baseline) Pressure() uint8                                                     { return 0 }
+func (b *baseline) PressureOf(fleet.KindName) uint8                                     { return 0 }
 func (b *baseline) InFlight() int                                                       { return len(b.running) }
--- a/internal/load/decider.go
+++ b/internal/load/decider.go
@@ -60,7 +60,7 @@
 		Adopt(r admission.Request, now time.Time)
 		Configure(target fleet.Target, kinds []fleet.Kind, now time.Time) []admission.Request
 		Takeover(reported int, now time.Time)
-		Pressure() uint8
+		PressureOf(kind fleet.KindName) uint8
 		InFlight() int
 	}
 
--- a/internal/load/owner.go
+++ b/internal/load/owner.go
@@ -228,7 +228,7 @@
 		return o.out
 	}
 	if p.Source == balancer.FromPeer {
-		o.edge(l.Service).Hear(p.Header.Pressure, now)
+		o.edge(l.Service).Hear(l.Kind.Name, p.Header.Pressure, now)
 	}
 	if p.Header.Hops > balancer.MaxHops {
 		o.drop(&p, causeHops)
@@ -621,18 +621,19 @@
 		Epoch:    o.view.Epoch,
 		Target:   key,
 		Origin:   origin,
-		Pressure: o.pressure(key),
+		Pressure: o.pressure(key, p.Flow),
 	}
 	o.out = append(o.out, balancer.Action{Op: balancer.Pass, Flow: p.Flow, Peer: to, Header: header, Payload: p.Payload})
 }
 
-// pressure is that of the target where it is owned here, and otherwise that
-// of no target, so that a VM does not repeat what it heard.
-func (o *targetOwner) pressure(key fleet.TargetKey) uint8 {
-	if owned := o.owned[key]; owned != nil {
-		return owned.limiter.Pressure()
+// pressure is that of the packet's kind where the target is owned here, and
+// otherwise 0, so that a VM does not repeat what it heard.
+func (o *targetOwner) pressure(key fleet.TargetKey, flow fleet.FlowKey) uint8 {
+	owned, l := o.owned[key], o.view.Listener(flow.VIP, flow.Protocol)
+	if owned == nil || l == nil {
+		return 0
 	}
-	return 0
+	return owned.limiter.PressureOf(l.Kind.Name)
 }
 
 func later(a, b time.Time) time.Time {
--- a/pkg/admission/adaptive.go
+++ b/pkg/admission/adaptive.go
@@ -88,7 +88,7 @@
 		l.adapt(now)
 	case Shed:
 		l.adaptive.lower(1, now)
-		l.pressure.refused()
+		c.pressure.refused()
 	case Cancelled, Expired:
 		// The request would have taken longer, so this is a lower bound.
 		if used > c.service {
--- a/pkg/admission/class.go
+++ b/pkg/admission/class.go
@@ -24,6 +24,7 @@
 	class struct {
 		kind    fleet.Kind
 		share   float64 // guaranteed, with all shares scaled to at most 1
+		earns   float64 // share with the margin for passing delays
 		retired bool
 
 		queue    []waiting
@@ -44,7 +45,8 @@
 		turns [callerBuckets]float64 // virtual finish times of callers
 		now   float64                // virtual time of the last start
 
-		stats KindStats
+		pressure pressure
+		stats    KindStats
 	}
 
 	waiting struct {
--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -21,6 +21,10 @@
 	maxWaitShare = 0.4
 	// creditWindow is the time for which a kind saves unused share.
 	creditWindow = 500 * time.Millisecond
+	// passMargin raises what shares earn where they sum up to less than 1. The
+	// owner sees a slot as taken until the answer has come to it, which is up
+	// to a tenth longer than the target works on short requests.
+	passMargin = 1.1
 	// longShare is the part of a more urgent kind's deadline above which
 	// a request counts as long for it.
 	longShare = 0.25
@@ -50,7 +54,6 @@
 		ramp     ramp
 		adaptive adaptive
 		report   report
-		pressure pressure
 
 		started []Request
 		expired []Request
@@ -148,6 +151,7 @@
 	}
 	for _, c := range l.classes {
 		c.share = c.kind.Share / math.Max(total, 1)
+		c.earns = c.share * max(1, min(passMargin, 1/total))
 	}
 }
 
@@ -192,9 +196,9 @@
 	earned := elapsed.Seconds() * float64(l.adaptive.limit)
 	most := creditWindow.Seconds() * float64(l.adaptive.limit)
 	for _, c := range l.classes {
-		c.credit = min(c.credit+earned*c.share, most*c.share)
+		c.credit = min(c.credit+earned*c.earns, most*c.earns)
+		c.pressure.decay(elapsed)
 	}
-	l.pressure.decay(elapsed)
 }
 
 // TryStart takes a slot for r and reports true where one is free for its kind
@@ -216,7 +220,7 @@
 		return false
 	}
 	c.stats.Offered++
-	l.pressure.accepted()
+	c.pressure.accepted()
 	l.start(c, &r, now)
 	return true
 }
@@ -305,11 +309,11 @@
 	if cause != "" {
 		c.stats.Refused[cause]++
 		if cause != CauseDuplicate {
-			l.pressure.refused()
+			c.pressure.refused()
 		}
 		return nil, &RefusalError{Flow: r.Flow, Kind: r.Kind, Cause: cause}
 	}
-	l.pressure.accepted()
+	c.pressure.accepted()
 	c.push(&r)
 	return l.evicted, nil
 }
@@ -345,7 +349,7 @@
 	}
 	l.evicted = append(l.evicted, c.remove(i))
 	c.stats.Evicted++
-	l.pressure.refused()
+	c.pressure.refused()
 	return ""
 }
 
@@ -367,7 +371,7 @@
 	wait := work / float64(max(1, free))
 	queue := float64(len(c.queue))
 	if c.share > 0 {
-		wait = min(wait, queue*c.service/(c.share*float64(limit)))
+		wait = min(wait, queue*c.service/(c.earns*float64(limit)))
 	}
 	return seconds(max(wait, queue*c.gap))
 }
@@ -467,9 +471,24 @@
 	l.report.hear(inFlight, now)
 }
 
-// Pressure returns the load that the owner signals to other entry VMs, from 0
-// (nothing refused) to 255 (nearly everything refused).
-func (l *Limiter) Pressure() uint8 { return l.pressure.value() }
+// Pressure returns the highest pressure of all kinds, from 0 (nothing refused)
+// to 255 (nearly everything refused).
+func (l *Limiter) Pressure() uint8 {
+	highest := uint8(0)
+	for _, c := range l.classes {
+		highest = max(highest, c.pressure.value())
+	}
+	return highest
+}
+
+// PressureOf returns the pressure of one kind, which the owner signals to other
+// entry VMs in the headers of packets of that kind.
+func (l *Limiter) PressureOf(kind fleet.KindName) uint8 {
+	if c := l.byName[kind]; c != nil {
+		return c.pressure.value()
+	}
+	return 0
+}
 
 // InFlight returns the number of requests in flight, adopted ones included.
 func (l *Limiter) InFlight() int { return len(l.running) }
--- a/pkg/admission/report.go
+++ b/pkg/admission/report.go
@@ -31,7 +31,7 @@
 		inherits  time.Duration
 	}
 
-	// pressure is the smoothed part of arrivals that were refused.
+	// pressure is the smoothed part of a kind's arrivals that were refused.
 	pressure struct{ level float64 }
 )
 
