Shorten the queue except at the guaranteed rate

Cause: one lookup in a hundred was answered late in a flood, after a slot had been spent on it: waits of 0.4 of the deadline leave too little for long service times.

Change: the wait at the full rate may be 0.2 of the deadline; the wait at the guaranteed rate may be 0.45.

--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -17,8 +17,11 @@
 	// maxQueueBytes bounds the packets held for one kind.
 	maxQueueBytes = 256 << 10
 	// maxWaitShare is the part of its deadline that a request may be expected
-	// to wait. The rest covers service times well above the mean.
-	maxWaitShare = 0.4
+	// to wait. Service times well above the mean need the rest.
+	maxWaitShare = 0.2
+	// maxFloorWaitShare is the same for the wait at the kind's guaranteed rate.
+	// A shorter queue runs empty at times, so that the kind misses its share.
+	maxFloorWaitShare = 0.45
 	// creditWindow is the time for which a kind saves unused share.
 	creditWindow = 500 * time.Millisecond
 	// passMargin raises what shares earn where they sum up to less than 1. The
@@ -328,10 +331,9 @@
 	case c.cannotEnd(r, now) || r.Bytes > maxQueueBytes:
 		return CauseDeadline
 	}
-	limit := l.Limit(now)
 	most := min(maxQueue, queuePerSlot*l.capacity())
-	wait := l.expectedWait(c, limit)
-	if float64(wait) <= maxWaitShare*float64(c.kind.Deadline) && len(c.queue) < most && c.bytes+r.Bytes <= maxQueueBytes {
+	wait, ok := l.expectedWait(c, l.Limit(now))
+	if ok && len(c.queue) < most && c.bytes+r.Bytes <= maxQueueBytes {
 		if now.Add(wait + seconds(c.service)).After(r.Deadline) {
 			return CauseDeadline
 		}
@@ -353,11 +355,12 @@
 	return ""
 }
 
-// expectedWait estimates how long a new request of the class would wait: the
-// work of its own and more urgent kinds ahead of it at the full limit, or the
-// work of its own kind at the guaranteed share, whichever is shorter; and at
-// least its own queue at the rate that the kind was given lately.
-func (l *Limiter) expectedWait(c *class, limit int) time.Duration {
+// expectedWait estimates how long a new request of the class would wait, and
+// reports whether that is within bounds. There are two estimates: the work of
+// its own and more urgent kinds ahead of it at the full limit, and the work of
+// its own kind at the guaranteed share. The shorter one holds, but not less
+// than the own queue takes at the rate that the kind was given lately.
+func (l *Limiter) expectedWait(c *class, limit int) (time.Duration, bool) {
 	work := 0.0
 	free := limit
 	for _, other := range l.classes {
@@ -368,12 +371,17 @@
 			free -= other.running
 		}
 	}
-	wait := work / float64(max(1, free))
+	deadline := c.kind.Deadline.Seconds()
 	queue := float64(len(c.queue))
+	recent := queue * c.gap
+	wait := max(work/float64(max(1, free)), recent)
+	ok := wait <= maxWaitShare*deadline
 	if c.share > 0 {
-		wait = min(wait, queue*c.service/(c.earns*float64(limit)))
+		floor := max(queue*c.service/(c.earns*float64(limit)), recent)
+		ok = ok || floor <= maxFloorWaitShare*deadline
+		wait = min(wait, floor)
 	}
-	return seconds(max(wait, queue*c.gap))
+	return seconds(wait), ok
 }
 
 // Next starts the waiting requests for which slots are free and removes those
