Count recent starts in the fairness between callers

Cause: four callers that each offered half of their fair part of a kind beside one that offered 50 times as much had 5 to 10 % of their requests refused, since the short queue holds only two or three requests of each and their arrivals come in bursts. Enqueue also refused a flow that already waits, which may then run.

Change: a caller gives way that has more in the queue and more recent starts, or more than twice as much in sum. A repeated Enqueue has no effect.

Conclusion: a caller below its part is served in a flood of another.

--- a/pkg/admission/class.go
+++ b/pkg/admission/class.go
@@ -15,6 +15,9 @@
 // that a flood from many addresses can create.
 const callerBuckets = 256
 
+// recentTime is the time in which the weight of an earlier start halves.
+const recentTime = 500 * time.Millisecond
+
 // mostPutOff is the part of its deadline by which a request may be put off in
 // favour of other callers.
 const mostPutOff = 0.125
@@ -44,6 +47,8 @@
 
 		turns [callerBuckets]float64 // virtual finish times of callers
 		now   float64                // virtual time of the last start
+		// recent counts starts, halved at each recentTime.
+		recent [callerBuckets]float64
 
 		pressure pressure
 		stats    KindStats
@@ -158,25 +163,42 @@
 func (c *class) turn(caller uint8) {
 	c.now = max(c.turns[caller], c.now)
 	c.turns[caller] = c.now + 1
+	c.recent[caller]++
 }
 
-// heaviest returns the index of the latest request of the caller that has
-// most in the queue, or -1 where that is not more than one above the count of
-// the given caller.
+// heaviest returns the index of the latest request of the caller that should
+// give way to the given one, or -1 where none should. A caller gives way that
+// has at least two requests more in the queue, or that with its recent starts
+// has had more than twice as much; the latter lets a burst of a caller with
+// little work in, but not the usual variation between many callers.
 func (c *class) heaviest(caller uint8) int {
-	var counts [callerBuckets]uint16
-	best := -1
+	var counts [callerBuckets]float64
+	for i := range c.queue {
+		counts[c.queue[i].caller]++
+	}
+	best, most := -1, 0.0
 	for i := range c.queue {
-		w := &c.queue[i]
-		counts[w.caller]++
-		if best < 0 || counts[w.caller] >= counts[c.queue[best].caller] {
-			best = i
+		b := c.queue[i].caller
+		if had := counts[b] + c.recent[b]; had >= most {
+			best, most = i, had
 		}
 	}
-	if best < 0 || counts[c.queue[best].caller] <= counts[caller]+1 {
+	if best < 0 {
 		return -1
 	}
-	return best
+	waits := counts[caller]
+	had := waits + c.recent[caller]
+	if most > had && counts[c.queue[best].caller] > waits+1 || most > 2*had+4 {
+		return best
+	}
+	return -1
+}
+
+// age halves the counts of recent starts.
+func (c *class) age() {
+	for i := range c.recent {
+		c.recent[i] /= 2
+	}
 }
 
 // expire removes the requests that can no longer end by their deadline.
--- a/pkg/admission/doc.go
+++ b/pkg/admission/doc.go
@@ -26,8 +26,7 @@
 // The earliest deadline goes first, put off by the service times that its
 // caller is ahead of the others, up to an eighth of the deadline. Callers are
 // hashed addresses (IPv6 by /64 prefix). When the queue of a kind is full, an
-// arrival of a caller that has fewer requests in it replaces the latest of the
-// caller that has most, so that no caller can take more than its part of a
-// queue that others want. A
+// arrival replaces the latest request of the caller that has most, counting
+// recent starts, where that caller has clearly more than the arriving one. A
 // request is never evicted by a request of another kind.
 package admission
--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -53,6 +53,7 @@
 		running map[fleet.FlowKey]run
 
 		updated  time.Time
+		aged     time.Time
 		serving  bool
 		ramp     ramp
 		adaptive adaptive
@@ -202,6 +203,13 @@
 		c.credit = min(c.credit+earned*c.earns, most*c.earns)
 		c.pressure.decay(elapsed)
 	}
+	if now.Sub(l.aged) < recentTime {
+		return
+	}
+	l.aged = now
+	for _, c := range l.classes {
+		c.age()
+	}
 }
 
 // TryStart takes a slot for r and reports true where one is free for its kind
@@ -299,7 +307,8 @@
 // Enqueue lets r wait. It returns a RefusalError where r can't be run in time
 // or the queue of its kind is full, and the waiting requests that r replaced,
 // which were not run and will not be. The slice is valid until the next call
-// of Enqueue or Configure.
+// of Enqueue or Configure. A flow that already waits or runs stays as it is,
+// without an error, since a refusal of it would be wrong.
 func (l *Limiter) Enqueue(r Request, now time.Time) (evicted []Request, err error) {
 	l.advance(now)
 	l.evicted = l.evicted[:0]
@@ -307,13 +316,14 @@
 	if c == nil {
 		return nil, &RefusalError{Flow: r.Flow, Kind: r.Kind, Cause: CauseUnknownKind}
 	}
+	if l.holds(r.Flow) || c.find(r.Flow) >= 0 {
+		return nil, nil
+	}
 	c.stats.Offered++
 	cause := l.admit(c, &r, now)
 	if cause != "" {
 		c.stats.Refused[cause]++
-		if cause != CauseDuplicate {
-			c.pressure.refused()
-		}
+		c.pressure.refused()
 		return nil, &RefusalError{Flow: r.Flow, Kind: r.Kind, Cause: cause}
 	}
 	c.pressure.accepted()
@@ -326,8 +336,6 @@
 	switch {
 	case !l.serving:
 		return CauseNotServing
-	case l.holds(r.Flow) || c.find(r.Flow) >= 0:
-		return CauseDuplicate
 	case c.cannotEnd(r, now) || r.Bytes > maxQueueBytes:
 		return CauseDeadline
 	}
--- a/pkg/admission/request.go
+++ b/pkg/admission/request.go
@@ -25,8 +25,6 @@
 	CauseUnknownKind Cause = "UnknownKind"
 	// CauseNotServing means that the target takes no new flows.
 	CauseNotServing Cause = "NotServing"
-	// CauseDuplicate means that the flow already waits or runs.
-	CauseDuplicate Cause = "Duplicate"
 	// CauseDeadline means that the request can't end by its deadline.
 	CauseDeadline Cause = "Deadline"
 	// CauseQueueFull means that the kind's queue has reached its bound.
