--- /dev/null
+++ b/internal/geneve/adapter.go
@@ -0,0 +1,280 @@
+package geneve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/net/ipv4"
+
+	"bamboowalk.org/bamboowalk/pkg/balancer"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+const (
+	// batchSize is the number of datagrams that one system call reads or
+	// writes.
+	batchSize = 32
+	// bufferSize holds an inner packet of 1,500 bytes with a pass header or
+	// all Geneve options; longer datagrams are discarded.
+	bufferSize = 2048
+)
+
+// A datagram between entry VMs starts with peerMagic and a byte of flags, and
+// continues with the pass header and the inner packet. With peerMessage it
+// continues with the number of the shard and a control message of the core.
+const (
+	peerMagic      = 0xb4
+	peerPrefixSize = 2
+	peerControl    = 0x01
+	peerDone       = 0x02
+	peerShed       = 0x04
+	peerMessage    = 0x80
+)
+
+type (
+	// Received is one decoded datagram. Its packet refers to a buffer that is
+	// reused after Release.
+	Received struct {
+		Packet balancer.Packet
+		Header Header
+		// Message is a control message of the VM From for the core of a shard;
+		// it is nil where the datagram is a packet.
+		Message []byte
+		From    fleet.VMID
+		Shard   uint8
+
+		pool *sync.Pool
+		buf  []byte
+	}
+
+	// Adapter moves packets between one UDP socket and the cores. Set the
+	// fields before Receive.
+	Adapter struct {
+		Conn *net.UDPConn
+		// Fabric lists the addresses of the fabric that take replies.
+		Fabric []netip.AddrPort
+		// Sources limits the outer sources of packets from the fabric; all are
+		// accepted where it is empty.
+		Sources  []netip.Prefix
+		Counters *Counters
+
+		index atomic.Pointer[index]
+		pool  sync.Pool
+	}
+
+	// SocketError reports a failure of the data socket.
+	SocketError struct {
+		Op  string
+		Err error
+	}
+)
+
+// Error names the operation and the cause.
+func (e *SocketError) Error() string { return fmt.Sprintf("data socket: %s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *SocketError) Unwrap() error { return e.Err }
+
+// Release returns the buffer of the packet.
+func (r *Received) Release() {
+	if r.pool != nil {
+		r.pool.Put(r)
+	}
+}
+
+// SetView replaces the view by which datagrams are classified and addressed.
+// One goroutine calls it.
+func (a *Adapter) SetView(v *fleet.View, now time.Time) {
+	a.index.Store(newIndex(v, a.index.Load(), now))
+}
+
+// Receive reads datagrams and delivers the valid ones until ctx ends; it
+// returns a SocketError where the socket fails before that. deliver takes over
+// the packet and must call Release.
+func (a *Adapter) Receive(ctx context.Context, deliver func(*Received)) error {
+	stop := context.AfterFunc(ctx, func() { a.Conn.Close() })
+	defer stop()
+	conn := ipv4.NewPacketConn(a.Conn)
+	decoder := NewDecoder()
+	batch := make([]ipv4.Message, batchSize)
+	slots := make([]*Received, batchSize)
+	for {
+		a.fill(batch, slots)
+		n, err := conn.ReadBatch(batch, 0)
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return &SocketError{Op: "read", Err: err}
+		}
+		for i := range n {
+			if a.accept(decoder, slots[i], &batch[i]) {
+				deliver(slots[i])
+				slots[i] = nil
+			}
+		}
+	}
+}
+
+func (a *Adapter) fill(batch []ipv4.Message, slots []*Received) {
+	for i := range slots {
+		if slots[i] != nil {
+			continue
+		}
+		slots[i] = a.get()
+		batch[i].Buffers = [][]byte{slots[i].buf}
+	}
+}
+
+func (a *Adapter) get() *Received {
+	if r, ok := a.pool.Get().(*Received); ok {
+		return r
+	}
+	return &Received{pool: &a.pool, buf: make([]byte, bufferSize)}
+}
+
+// accept decodes a message into r and reports whether it is valid; an invalid
+// one costs a counter.
+func (a *Adapter) accept(d *Decoder, r *Received, m *ipv4.Message) bool {
+	if m.Flags&syscall.MSG_TRUNC != 0 {
+		a.Counters.Discard(Oversized)
+		return false
+	}
+	addr, ok := m.Addr.(*net.UDPAddr)
+	x := a.index.Load()
+	if !ok || x == nil {
+		a.Counters.Discard(UnknownListener)
+		return false
+	}
+	source := addr.AddrPort()
+	source = netip.AddrPortFrom(source.Addr().Unmap(), source.Port())
+	if err := a.decode(d, x, r, r.buf[:m.N], source); err != nil {
+		var de *DecodeError
+		if errors.As(err, &de) {
+			a.Counters.Discard(de.Reason)
+		}
+		return false
+	}
+	return true
+}
+
+func (a *Adapter) decode(d *Decoder, x *index, r *Received, b []byte, source netip.AddrPort) error {
+	if len(b) == 0 {
+		return &DecodeError{Reason: TooShort}
+	}
+	r.Message = nil
+	if b[0] == peerMagic {
+		return a.decodePeer(d, x, r, b, source)
+	}
+	h, inner, err := ParseHeader(b)
+	if err != nil {
+		return err
+	}
+	r.Header = h
+	r.Packet = balancer.Packet{Payload: inner}
+	if id, ok := x.targets[source]; ok {
+		return a.decodeTarget(d, x, r, id)
+	}
+	return a.decodeFabric(d, x, r, source)
+}
+
+func (a *Adapter) decodePeer(d *Decoder, x *index, r *Received, b []byte, source netip.AddrPort) error {
+	from, ok := x.sources[source]
+	if !ok {
+		return &DecodeError{Reason: UnknownPeer}
+	}
+	if len(b) <= peerPrefixSize {
+		return &DecodeError{Offset: len(b), Reason: TooShort}
+	}
+	if b[1] == peerMessage {
+		r.From, r.Shard, r.Message = from, b[peerPrefixSize], b[peerPrefixSize+1:]
+		a.Counters.FromPeer.Add(1)
+		return nil
+	}
+	pass, inner, err := balancer.ParsePassHeader(b[peerPrefixSize:])
+	if err != nil {
+		return &DecodeError{Offset: peerPrefixSize, Reason: BadPassHeader}
+	}
+	flags := b[1]
+	r.Header = Header{Control: flags&peerControl != 0, Done: flags&peerDone != 0, Shed: flags&peerShed != 0}
+	r.Packet = balancer.Packet{Source: balancer.FromPeer, Header: pass, Payload: inner}
+	if err := a.decodeInner(d, x, r, pass.Mode == balancer.Answer); err != nil {
+		return err
+	}
+	a.Counters.FromPeer.Add(1)
+	return nil
+}
+
+func (a *Adapter) decodeTarget(d *Decoder, x *index, r *Received, id fleet.TargetID) error {
+	r.Packet.Source = balancer.FromTarget
+	r.Packet.Target = id
+	if err := a.decodeInner(d, x, r, true); err != nil {
+		return err
+	}
+	a.Counters.FromTarget.Add(1)
+	return nil
+}
+
+func (a *Adapter) decodeFabric(d *Decoder, x *index, r *Received, source netip.AddrPort) error {
+	if !a.fromFabric(source.Addr()) {
+		return &DecodeError{Reason: UnknownPeer}
+	}
+	if r.Header.Control {
+		return &DecodeError{Offset: 1, Reason: UnexpectedControl}
+	}
+	r.Packet.Source = balancer.FromFabric
+	// Only targets may end a flow by option.
+	r.Header.Done, r.Header.Shed = false, false
+	if err := a.decodeInner(d, x, r, false); err != nil {
+		return err
+	}
+	a.Counters.FromFabric.Add(1)
+	return nil
+}
+
+func (a *Adapter) fromFabric(source netip.Addr) bool {
+	if len(a.Sources) == 0 {
+		return true
+	}
+	for _, p := range a.Sources {
+		if p.Contains(source) {
+			return true
+		}
+	}
+	return false
+}
+
+// decodeInner sets the flow, start and end of the packet. A response has the
+// caller as its destination.
+func (a *Adapter) decodeInner(d *Decoder, x *index, r *Received, response bool) error {
+	in, err := d.Decode(r.Packet.Payload)
+	if err != nil {
+		return err
+	}
+	p := &r.Packet
+	p.Flow = fleet.FlowKey{Caller: in.Source, VIP: in.Destination, Protocol: in.Protocol}
+	if response {
+		p.Flow.Caller, p.Flow.VIP = in.Destination, in.Source
+	}
+	if x.view.Listener(p.Flow.VIP, p.Flow.Protocol) == nil {
+		return &DecodeError{Reason: UnknownListener}
+	}
+	if !response {
+		p.Start, p.Instance = in.Start, in.Instance
+	}
+	p.End = in.End
+	switch {
+	case r.Header.Shed:
+		p.End = balancer.Shed
+	case r.Header.Done:
+		p.End = balancer.Done
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/geneve/header.go
@@ -0,0 +1,231 @@
+package geneve
+
+import (
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+// optionClass is in the range 0xff00 to 0xffff that RFC 8926 reserves for
+// experimental use.
+const optionClass = 0xffb0
+
+// Types of options; none has the critical bit, so that a receiver that does
+// not know an option ignores it.
+const (
+	optionDeadline = 0x01 // uint32: remaining time in milliseconds
+	optionFlow     = 0x02 // uint64: flow hash
+	optionDone     = 0x03 // no data
+	optionShed     = 0x04 // no data
+	optionLoad     = 0x05 // uint16 slots in use, uint16 reserved, uint32 open connections
+	optionCancel   = 0x06 // no data
+)
+
+const (
+	headerSize       = 8
+	optionHeaderSize = 4
+	criticalBit      = 0x80
+	controlFlag      = 0x80
+	protocolIPv4     = 0x0800
+	protocolIPv6     = 0x86dd
+)
+
+type (
+	// Header is a Geneve header with the options that this system knows.
+	Header struct {
+		VNI uint32
+		// Control is the O bit: the inner packet only names a flow, and is not
+		// delivered.
+		Control  bool
+		Deadline time.Duration // remaining time; 0 where the option is absent
+		Flow     fleet.FlowHash
+		Done     bool
+		Shed     bool
+		Cancel   bool
+		// HasLoad says whether Load was reported.
+		HasLoad bool
+		Load    Load
+	}
+
+	// Load is a target's report on itself.
+	Load struct {
+		SlotsInUse  uint16
+		Connections uint32
+	}
+
+	// DecodeError reports a datagram that does not decode.
+	DecodeError struct {
+		Offset int
+		Reason Reason
+	}
+
+	// Reason is the cause of a DecodeError, from a bounded set that serves as
+	// a metric label.
+	Reason string
+)
+
+// Reasons for which datagrams are discarded.
+const (
+	TooShort          Reason = "TooShort"
+	BadVersion        Reason = "BadVersion"
+	BadOptions        Reason = "BadOptions"
+	CriticalOption    Reason = "CriticalOption"
+	UnknownProtocol   Reason = "UnknownProtocol"
+	BadInner          Reason = "BadInner"
+	Fragment          Reason = "Fragment"
+	Oversized         Reason = "Oversized"
+	UnknownListener   Reason = "UnknownListener"
+	UnknownPeer       Reason = "UnknownPeer"
+	BadPassHeader     Reason = "BadPassHeader"
+	UnknownTarget     Reason = "UnknownTarget"
+	QueueFull         Reason = "QueueFull"
+	SendFailed        Reason = "SendFailed"
+	UnexpectedControl Reason = "UnexpectedControl"
+	// Paused is counted for start packets that waited while the process was
+	// paused.
+	Paused Reason = "Paused"
+)
+
+// Reasons lists all reasons, for metrics that start at zero.
+var Reasons = []Reason{
+	TooShort, BadVersion, BadOptions, CriticalOption, UnknownProtocol,
+	BadInner, Fragment, Oversized, UnknownListener, UnknownPeer,
+	BadPassHeader, UnknownTarget, QueueFull, SendFailed, UnexpectedControl, Paused,
+}
+
+// Error returns the offset and the reason.
+func (e *DecodeError) Error() string {
+	return fmt.Sprintf("Geneve datagram, offset %d: %s", e.Offset, e.Reason)
+}
+
+// Append encodes the header for inner after b, without inner itself; the first
+// byte of inner selects the protocol type.
+func (h *Header) Append(b, inner []byte) []byte {
+	start := len(b)
+	protocol := uint16(protocolIPv4)
+	if len(inner) > 0 && inner[0]>>4 == 6 {
+		protocol = protocolIPv6
+	}
+	var flags byte
+	if h.Control {
+		flags |= controlFlag
+	}
+	b = append(b, 0, flags)
+	b = binary.BigEndian.AppendUint16(b, protocol)
+	b = binary.BigEndian.AppendUint32(b, h.VNI<<8)
+	b = h.appendOptions(b)
+	b[start] = byte((len(b) - start - headerSize) / 4)
+	return b
+}
+
+func (h *Header) appendOptions(b []byte) []byte {
+	if h.Deadline > 0 {
+		b = appendOption(b, optionDeadline, 4)
+		b = binary.BigEndian.AppendUint32(b, milliseconds(h.Deadline))
+	}
+	if h.Flow != 0 {
+		b = appendOption(b, optionFlow, 8)
+		b = binary.BigEndian.AppendUint64(b, uint64(h.Flow))
+	}
+	if h.HasLoad {
+		b = appendOption(b, optionLoad, 8)
+		b = binary.BigEndian.AppendUint16(b, h.Load.SlotsInUse)
+		b = binary.BigEndian.AppendUint16(b, 0)
+		b = binary.BigEndian.AppendUint32(b, h.Load.Connections)
+	}
+	if h.Done {
+		b = appendOption(b, optionDone, 0)
+	}
+	if h.Shed {
+		b = appendOption(b, optionShed, 0)
+	}
+	if h.Cancel {
+		b = appendOption(b, optionCancel, 0)
+	}
+	return b
+}
+
+func appendOption(b []byte, kind byte, size int) []byte {
+	b = binary.BigEndian.AppendUint16(b, optionClass)
+	return append(b, kind, byte(size/4))
+}
+
+// milliseconds rounds up, so that a positive remaining time is never sent as
+// zero.
+func milliseconds(d time.Duration) uint32 {
+	ms := (d + time.Millisecond - 1) / time.Millisecond
+	return uint32(min(ms, 1<<32-1))
+}
+
+// ParseHeader decodes a Geneve header and returns the inner packet; it returns
+// a DecodeError.
+func ParseHeader(b []byte) (Header, []byte, error) {
+	if len(b) < headerSize {
+		return Header{}, nil, &DecodeError{Offset: len(b), Reason: TooShort}
+	}
+	if b[0]>>6 != 0 {
+		return Header{}, nil, &DecodeError{Offset: 0, Reason: BadVersion}
+	}
+	if p := binary.BigEndian.Uint16(b[2:]); p != protocolIPv4 && p != protocolIPv6 {
+		return Header{}, nil, &DecodeError{Offset: 2, Reason: UnknownProtocol}
+	}
+	end := headerSize + int(b[0]&0x3f)*4
+	if len(b) < end {
+		return Header{}, nil, &DecodeError{Offset: len(b), Reason: TooShort}
+	}
+	h := Header{VNI: binary.BigEndian.Uint32(b[4:]) >> 8, Control: b[1]&controlFlag != 0}
+	for at := headerSize; at < end; {
+		n, err := h.parseOption(b[at:end], at)
+		if err != nil {
+			return Header{}, nil, err
+		}
+		at += n
+	}
+	return h, b[end:], nil
+}
+
+// parseOption decodes the option at the start of b and returns its size.
+func (h *Header) parseOption(b []byte, offset int) (int, error) {
+	if len(b) < optionHeaderSize {
+		return 0, &DecodeError{Offset: offset, Reason: BadOptions}
+	}
+	size := optionHeaderSize + int(b[3]&0x1f)*4
+	if len(b) < size {
+		return 0, &DecodeError{Offset: offset, Reason: BadOptions}
+	}
+	kind, data := b[2], b[optionHeaderSize:size]
+	if binary.BigEndian.Uint16(b) != optionClass {
+		return size, checkCritical(kind, offset)
+	}
+	switch {
+	case kind == optionDeadline && len(data) == 4:
+		h.Deadline = time.Duration(binary.BigEndian.Uint32(data)) * time.Millisecond
+	case kind == optionFlow && len(data) == 8:
+		h.Flow = fleet.FlowHash(binary.BigEndian.Uint64(data))
+	case kind == optionLoad && len(data) == 8:
+		h.HasLoad = true
+		h.Load = Load{SlotsInUse: binary.BigEndian.Uint16(data), Connections: binary.BigEndian.Uint32(data[4:])}
+	case kind == optionDone && len(data) == 0:
+		h.Done = true
+	case kind == optionShed && len(data) == 0:
+		h.Shed = true
+	case kind == optionCancel && len(data) == 0:
+		h.Cancel = true
+	case kind >= optionDeadline && kind <= optionCancel:
+		return 0, &DecodeError{Offset: offset, Reason: BadOptions}
+	default:
+		return size, checkCritical(kind, offset)
+	}
+	return size, nil
+}
+
+// checkCritical rejects an unknown option that its sender marked as critical,
+// as RFC 8926 section 3.5 requires.
+func checkCritical(kind byte, offset int) error {
+	if kind&criticalBit != 0 {
+		return &DecodeError{Offset: offset, Reason: CriticalOption}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/geneve/inner.go
@@ -0,0 +1,186 @@
+package geneve
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/gopacket"
+	"github.com/google/gopacket/layers"
+
+	"bamboowalk.org/bamboowalk/pkg/balancer"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+// QUIC versions whose Initial packets are recognised (RFC 9000, RFC 9369).
+const (
+	quicVersion1 = 0x00000001
+	quicVersion2 = 0x6b3343cf
+)
+
+// Bits of the first byte of a QUIC packet.
+const (
+	quicLong  = 0x80
+	quicFixed = 0x40
+	quicType  = 0x30
+)
+
+type (
+	// Inner is a decoded inner packet. Source and Destination are those of the
+	// IP packet.
+	Inner struct {
+		Source      netip.AddrPort
+		Destination netip.AddrPort
+		Protocol    fleet.Protocol
+		Start       bool
+		// Instance tells requests apart that use the same ports, see
+		// balancer.Packet.
+		Instance uint32
+		End      balancer.End
+		// Data is the payload of the transport protocol.
+		Data []byte
+	}
+
+	// Decoder decodes inner packets and reuses its layers; it serves one
+	// goroutine.
+	Decoder struct {
+		parser4 *gopacket.DecodingLayerParser
+		parser6 *gopacket.DecodingLayerParser
+		ip4     layers.IPv4
+		ip6     layers.IPv6
+		tcp     layers.TCP
+		udp     layers.UDP
+		payload gopacket.Payload
+		found   []gopacket.LayerType
+	}
+)
+
+// NewDecoder returns a decoder.
+func NewDecoder() *Decoder {
+	d := &Decoder{}
+	d.parser4 = gopacket.NewDecodingLayerParser(layers.LayerTypeIPv4, &d.ip4, &d.tcp, &d.udp, &d.payload)
+	d.parser6 = gopacket.NewDecodingLayerParser(layers.LayerTypeIPv6, &d.ip6, &d.tcp, &d.udp, &d.payload)
+	// gopacket guesses the application protocol by port, and would otherwise
+	// report packets to port 53 or 4789 as errors.
+	d.parser4.IgnoreUnsupported = true
+	d.parser6.IgnoreUnsupported = true
+	return d
+}
+
+// Decode decodes an IP packet; the result refers to b. It returns a
+// DecodeError.
+func (d *Decoder) Decode(b []byte) (Inner, error) {
+	if len(b) == 0 {
+		return Inner{}, &DecodeError{Reason: TooShort}
+	}
+	switch b[0] >> 4 {
+	case 4:
+		return d.decode4(b)
+	case 6:
+		return d.decode6(b)
+	}
+	return Inner{}, &DecodeError{Reason: BadInner}
+}
+
+func (d *Decoder) decode4(b []byte) (Inner, error) {
+	if err := d.parser4.DecodeLayers(b, &d.found); err != nil || d.parser4.Truncated {
+		return Inner{}, &DecodeError{Reason: BadInner}
+	}
+	// The ports are in the first fragment only, so that fragments of one flow
+	// could not be kept together.
+	if d.ip4.FragOffset != 0 || d.ip4.Flags&layers.IPv4MoreFragments != 0 {
+		return Inner{}, &DecodeError{Offset: 6, Reason: Fragment}
+	}
+	source, _ := netip.AddrFromSlice(d.ip4.SrcIP)
+	destination, _ := netip.AddrFromSlice(d.ip4.DstIP)
+	return d.transport(source, destination)
+}
+
+func (d *Decoder) decode6(b []byte) (Inner, error) {
+	if err := d.parser6.DecodeLayers(b, &d.found); err != nil || d.parser6.Truncated {
+		return Inner{}, &DecodeError{Reason: BadInner}
+	}
+	source, _ := netip.AddrFromSlice(d.ip6.SrcIP)
+	destination, _ := netip.AddrFromSlice(d.ip6.DstIP)
+	return d.transport(source, destination)
+}
+
+func (d *Decoder) transport(source, destination netip.Addr) (Inner, error) {
+	for _, layer := range d.found {
+		switch layer {
+		case layers.LayerTypeTCP:
+			return d.tcpInner(source, destination), nil
+		case layers.LayerTypeUDP:
+			return d.udpInner(source, destination), nil
+		}
+	}
+	return Inner{}, &DecodeError{Reason: BadInner}
+}
+
+func (d *Decoder) tcpInner(source, destination netip.Addr) Inner {
+	in := Inner{
+		Source:      netip.AddrPortFrom(source, uint16(d.tcp.SrcPort)),
+		Destination: netip.AddrPortFrom(destination, uint16(d.tcp.DstPort)),
+		Protocol:    fleet.TCP,
+		Start:       d.tcp.SYN && !d.tcp.ACK,
+		Data:        d.tcp.Payload,
+	}
+	if in.Start {
+		in.Instance = d.tcp.Seq
+	}
+	switch {
+	case d.tcp.RST:
+		in.End = balancer.Reset
+	case d.tcp.FIN:
+		in.End = balancer.Fin
+	}
+	return in
+}
+
+func (d *Decoder) udpInner(source, destination netip.Addr) Inner {
+	return Inner{
+		Source:      netip.AddrPortFrom(source, uint16(d.udp.SrcPort)),
+		Destination: netip.AddrPortFrom(destination, uint16(d.udp.DstPort)),
+		Protocol:    fleet.UDP,
+		Start:       startsFlow(d.udp.Payload),
+		Instance:    quicInstance(d.udp.Payload),
+		Data:        d.udp.Payload,
+	}
+}
+
+// startsFlow reports whether a UDP payload may be the first of its flow: a
+// QUIC Initial, or anything that is not QUIC. A QUIC packet of an unknown
+// version counts as a first packet, since its type can't be read.
+func startsFlow(b []byte) bool {
+	if len(b) == 0 || b[0]&quicFixed == 0 {
+		return true
+	}
+	if b[0]&quicLong == 0 {
+		return false
+	}
+	if len(b) < 5 {
+		return true
+	}
+	switch binary.BigEndian.Uint32(b[1:]) {
+	case quicVersion1:
+		return b[0]&quicType == 0x00
+	case quicVersion2:
+		return b[0]&quicType == 0x10
+	}
+	return true
+}
+
+// quicInstance returns a hash of the destination connection id of a QUIC
+// Initial, and 0 for other payloads. A caller chooses this id at random for
+// its first Initial and changes to the target's id later.
+func quicInstance(b []byte) uint32 {
+	const idAt = 6
+	if len(b) < idAt || b[0]&(quicLong|quicFixed) != quicLong|quicFixed || !startsFlow(b) {
+		return 0
+	}
+	n := int(b[idAt-1])
+	if n == 0 || len(b) < idAt+n {
+		return 0
+	}
+	return uint32(xxhash.Sum64(b[idAt : idAt+n]))
+}
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -15,6 +15,8 @@
 		Control netip.AddrPort `toml:"Control" json:"Control" cbor:"2,keyasint"`
 		// Data receives packets from the fabric and from peers over UDP.
 		Data netip.AddrPort `toml:"Data" json:"Data" cbor:"3,keyasint"`
+		// HTTP takes announcements of targets, health checks and metrics.
+		HTTP netip.AddrPort `toml:"HTTP" json:"HTTP" cbor:"4,keyasint"`
 	}
 
 	// Zone is one zone as this VM sees it.
