Add announcements of targets over HTTP

Cause: there is no inventory of targets, so that they announce themselves. Conclusion: errors are typed and reach targets as JSON with an HTTP status.

--- /dev/null
+++ b/internal/announce/error.go
@@ -0,0 +1,159 @@
+package announce
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"bamboowalk.org/bamboowalk/pkg/chart"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+// Codes of errors, which are part of the HTTP interface.
+const (
+	CodeMalformed       = "Malformed"
+	CodeInvalid         = "Invalid"
+	CodeTooLarge        = "TooLarge"
+	CodeTooMany         = "TooManyRequests"
+	CodeWrongCredential = "WrongCredential"
+	CodeUnknownService  = "UnknownService"
+	CodeUnknownTarget   = "UnknownTarget"
+	CodeAddressHeld     = "AddressHeld"
+	CodeTransition      = "Transition"
+	CodeFull            = "Full"
+	CodeNoOwner         = "NoOwner"
+	CodeUnavailable     = "Unavailable"
+)
+
+type (
+	// Problem is the JSON form of an error.
+	Problem struct {
+		Code   string `json:"Code"`
+		Reason string `json:"Reason"`
+	}
+
+	// MalformedError reports a body that is not the expected JSON.
+	MalformedError struct{ Err error }
+
+	// TooLargeError reports a body above the limit.
+	TooLargeError struct{ Limit int64 }
+
+	// RateError reports a caller that exceeds the rate limit.
+	RateError struct{}
+
+	// CredentialError reports a wrong credential.
+	CredentialError struct{ Service fleet.ServiceID }
+
+	// HeldError reports an address that another service holds.
+	HeldError struct {
+		Address string
+		Holder  fleet.ServiceID
+	}
+
+	// FullError reports a registry at its limit.
+	FullError struct{ Limit int }
+
+	// OwnerError reports that the target's owner can't be reached or is not
+	// known.
+	OwnerError struct {
+		Owner fleet.VMID
+		Err   error
+	}
+
+	// RemoteError carries the answer of another VM.
+	RemoteError struct {
+		Status int
+		Problem
+	}
+)
+
+// Error gives the cause.
+func (e *MalformedError) Error() string { return fmt.Sprintf("body is not an announcement: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *MalformedError) Unwrap() error { return e.Err }
+
+// Error gives the limit.
+func (e *TooLargeError) Error() string { return fmt.Sprintf("body exceeds %d bytes", e.Limit) }
+
+// Error says that the rate limit is exceeded.
+func (e *RateError) Error() string { return "too many announcements" }
+
+// Error names the service.
+func (e *CredentialError) Error() string {
+	return fmt.Sprintf("wrong credential for service %q", e.Service)
+}
+
+// Error names the address and its holder.
+func (e *HeldError) Error() string {
+	return fmt.Sprintf("address %s is held by service %q", e.Address, e.Holder)
+}
+
+// Error gives the limit.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("%d targets are registered, the limit", e.Limit)
+}
+
+// Error names the owner and the cause.
+func (e *OwnerError) Error() string {
+	if e.Owner == "" {
+		return "the target's owner is not known yet"
+	}
+	return fmt.Sprintf("owner %s can't be reached: %v", e.Owner, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *OwnerError) Unwrap() error { return e.Err }
+
+// Error gives the remote reason.
+func (e *RemoteError) Error() string { return e.Reason }
+
+// classify returns the HTTP status and the JSON form of an error.
+func classify(err error) (int, Problem) {
+	var remote *RemoteError
+	if errors.As(err, &remote) {
+		return remote.Status, remote.Problem
+	}
+	status, code := statusOf(err)
+	return status, Problem{Code: code, Reason: err.Error()}
+}
+
+func statusOf(err error) (int, string) {
+	var (
+		malformed  *MalformedError
+		field      *fleet.FieldError
+		large      *TooLargeError
+		rate       *RateError
+		credential *CredentialError
+		unknown    *fleet.UnknownError
+		held       *HeldError
+		transition *chart.TransitionError
+		full       *FullError
+		owner      *OwnerError
+	)
+	switch {
+	case errors.As(err, &malformed):
+		return http.StatusBadRequest, CodeMalformed
+	case errors.As(err, &field):
+		return http.StatusBadRequest, CodeInvalid
+	case errors.As(err, &large):
+		return http.StatusRequestEntityTooLarge, CodeTooLarge
+	case errors.As(err, &rate):
+		return http.StatusTooManyRequests, CodeTooMany
+	case errors.As(err, &credential):
+		return http.StatusForbidden, CodeWrongCredential
+	case errors.As(err, &unknown) && unknown.Type == "target":
+		return http.StatusNotFound, CodeUnknownTarget
+	case errors.As(err, &unknown):
+		return http.StatusNotFound, CodeUnknownService
+	case errors.As(err, &held):
+		return http.StatusConflict, CodeAddressHeld
+	case errors.As(err, &transition):
+		return http.StatusConflict, CodeTransition
+	case errors.As(err, &full):
+		return http.StatusInsufficientStorage, CodeFull
+	case errors.As(err, &owner):
+		return http.StatusServiceUnavailable, CodeNoOwner
+	}
+	return http.StatusServiceUnavailable, CodeUnavailable
+}
