Add the entry daemon

Cause: adapter, core and announcements need one process. Views come from a Membership interface; Static gives the view of the settings until pkg/membership and pkg/lease are wired in.

--- /dev/null
+++ b/internal/entry/daemon.go
@@ -0,0 +1,366 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"bamboowalk.org/bamboowalk/internal/announce"
+	"bamboowalk.org/bamboowalk/internal/geneve"
+	"bamboowalk.org/bamboowalk/pkg/admission"
+	"bamboowalk.org/bamboowalk/pkg/balancer"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/placement"
+	"bamboowalk.org/bamboowalk/pkg/timeline"
+)
+
+const (
+	// controlInterval is the time between two checks of leases.
+	controlInterval = 250 * time.Millisecond
+	// stallTime is the time without a tick after which a shard counts as
+	// stalled.
+	stallTime = 2 * time.Second
+	// stopTime bounds the end of open HTTP requests.
+	stopTime = time.Second
+	// socketBuffer absorbs bursts while a shard is busy.
+	socketBuffer = 4 << 20
+)
+
+type (
+	// Daemon is one entry VM. Set the exported fields before Run.
+	Daemon struct {
+		Settings   *Settings
+		Membership Membership
+		Recorder   timeline.Recorder
+		Log        *zap.Logger
+		// Data and HTTP are sockets that are already open; Run opens those that
+		// are nil at the addresses of the settings.
+		Data *net.UDPConn
+		HTTP net.Listener
+
+		adapter  *geneve.Adapter
+		shards   []*shard
+		registry *announce.Registry
+		calls    chan func(now time.Time)
+		updates  chan Update
+		stopped  chan struct{}
+		view     atomic.Pointer[fleet.View]
+		leaving  atomic.Bool
+		client   *http.Client
+		// owners is the placement of the latest view, for the control goroutine.
+		owners *placement.Map
+	}
+
+	// KilledError, as the cause of the context of Run, stops the daemon at
+	// once, as a crash would; tests and the demo use it.
+	KilledError struct{}
+
+	// StoppedError reports a call to a daemon that has stopped.
+	StoppedError struct{}
+)
+
+// Error says that the daemon was killed.
+func (KilledError) Error() string { return "killed" }
+
+// Error says that the daemon has stopped.
+func (StoppedError) Error() string { return "entry daemon has stopped" }
+
+// Run serves until ctx ends and then leaves without interrupting flows: it
+// goes on passing packets until none arrives for QuietTime, at most for
+// DrainTime.
+func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.open(); err != nil {
+		return err
+	}
+	d.build()
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	d.start(work, group)
+	group.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+			d.leave(work, context.Cause(ctx))
+		case <-work.Done():
+		}
+		return nil
+	})
+	d.record(timeline.Event{Kind: timeline.KindStart, Name: "Started"})
+	d.Log.Info("entry VM started", zap.Stringer("data", d.Data.LocalAddr()), zap.Stringer("http", d.HTTP.Addr()))
+	err := group.Wait()
+	d.client.CloseIdleConnections()
+	d.record(timeline.Event{Kind: timeline.KindStop, Name: "Stopped"})
+	d.Log.Info("entry VM stopped", zap.Error(err))
+	return err
+}
+
+func (d *Daemon) open() error {
+	if d.Data == nil {
+		conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(d.Settings.Data))
+		if err != nil {
+			return fmt.Errorf("opening the data port: %w", err)
+		}
+		d.Data = conn
+	}
+	// A failure leaves the default size of the system.
+	_ = d.Data.SetReadBuffer(socketBuffer)
+	_ = d.Data.SetWriteBuffer(socketBuffer)
+	if d.HTTP == nil {
+		listener, err := net.Listen("tcp", d.Settings.HTTP.String())
+		if err != nil {
+			d.Data.Close()
+			return fmt.Errorf("opening the HTTP port: %w", err)
+		}
+		d.HTTP = listener
+	}
+	return nil
+}
+
+func (d *Daemon) build() {
+	if d.Recorder == nil {
+		d.Recorder = timeline.Discard{}
+	}
+	if d.Log == nil {
+		d.Log = zap.NewNop()
+	}
+	if d.Membership == nil {
+		d.Membership = &Static{Settings: d.Settings}
+	}
+	d.calls = make(chan func(time.Time))
+	d.updates = make(chan Update)
+	d.stopped = make(chan struct{})
+	d.adapter = &geneve.Adapter{
+		Conn:     d.Data,
+		Fabric:   d.Settings.Fabric,
+		Sources:  d.Settings.FabricSources,
+		Counters: geneve.NewCounters(),
+	}
+	d.registry = &announce.Registry{
+		Self:      d.Settings.ID,
+		Zone:      d.Settings.Zone,
+		LeaseTime: d.Settings.LeaseTime,
+		Limit:     d.Settings.TargetLimit,
+		Services:  d.Settings.Services,
+		Owner:     d.owner,
+	}
+	d.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second}}
+	for i := range d.Settings.Shards {
+		d.shards = append(d.shards, d.newShard(uint8(i)))
+	}
+}
+
+// owner returns the owner of a target in a view; it runs in the control
+// goroutine.
+func (d *Daemon) owner(v *fleet.View, key fleet.TargetKey) fleet.VMID {
+	if d.owners == nil || d.owners.View() != v {
+		d.owners = placement.New(v)
+	}
+	return d.owners.Owner(key)
+}
+
+func (d *Daemon) newShard(i uint8) *shard {
+	s := newShard(d.adapter.NewSender(i))
+	s.core = balancer.New(balancer.Config{
+		Self:       d.Settings.ID,
+		NewLimiter: newLimiter,
+		Retries:    &admission.RetryBudget{},
+		Recorder:   d.Recorder,
+	})
+	return s
+}
+
+func (d *Daemon) start(ctx context.Context, group *errgroup.Group) {
+	for _, s := range d.shards {
+		group.Go(func() error { s.run(ctx); return nil })
+	}
+	group.Go(func() error { return d.adapter.Receive(ctx, d.deliver) })
+	group.Go(func() error { return d.control(ctx) })
+	group.Go(func() error { return d.Membership.Run(ctx, d.apply) })
+	group.Go(func() error { return d.serveHTTP(ctx) })
+}
+
+// deliver gives a packet to the shard of its flow. A full shard drops it, as a
+// full socket buffer would.
+func (d *Daemon) deliver(r *geneve.Received) {
+	s := d.shards[d.shardOf(r)]
+	select {
+	case s.in <- r:
+	default:
+		d.adapter.Counters.Discard(geneve.QueueFull)
+		r.Release()
+	}
+}
+
+func (d *Daemon) shardOf(r *geneve.Received) int {
+	if r.Message != nil {
+		return int(r.Shard) % len(d.shards)
+	}
+	return int(uint64(r.Packet.Flow.Hash()) % uint64(len(d.shards)))
+}
+
+// apply gives an update to the control goroutine.
+func (d *Daemon) apply(u Update) {
+	select {
+	case d.updates <- u:
+	case <-d.stopped:
+	}
+}
+
+// do runs f in the control goroutine.
+func (d *Daemon) do(ctx context.Context, f func(r *announce.Registry, now time.Time)) error {
+	done := make(chan struct{})
+	call := func(now time.Time) {
+		f(d.registry, now)
+		close(done)
+	}
+	select {
+	case d.calls <- call:
+		<-done
+		return nil
+	case <-d.stopped:
+		return StoppedError{}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// control owns the view and the registry.
+func (d *Daemon) control(ctx context.Context) error {
+	defer close(d.stopped)
+	tick := time.NewTicker(controlInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case u := <-d.updates:
+			d.update(ctx, u, time.Now())
+		case f := <-d.calls:
+			f(time.Now())
+		case <-tick.C:
+			d.expire(time.Now())
+		}
+	}
+}
+
+func (d *Daemon) update(ctx context.Context, u Update, now time.Time) {
+	if u.View != nil {
+		d.adapter.SetView(u.View, now)
+		d.registry.SetView(u.View, now)
+		d.view.Store(u.View)
+		d.record(timeline.Event{Kind: timeline.KindView, Name: "Applied", Epoch: u.View.Epoch})
+	}
+	for _, s := range d.shards {
+		select {
+		case s.updates <- u:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (d *Daemon) expire(now time.Time) {
+	gone := d.registry.Expire(now)
+	for _, id := range gone {
+		d.Log.Info("announcement lease ended", zap.Stringer("target", id))
+		d.record(timeline.Event{Kind: timeline.KindTarget, Name: "LeaseEnd", Target: id.String(), Service: id.Service})
+	}
+	if len(gone) > 0 {
+		d.report(d.registry)
+	}
+}
+
+func (d *Daemon) report(r *announce.Registry) { d.Membership.Report(r.Targets()) }
+
+// leave asks for a view without this VM and waits until no packets arrive.
+func (d *Daemon) leave(ctx context.Context, cause error) {
+	if errors.As(cause, &KilledError{}) {
+		return
+	}
+	d.leaving.Store(true)
+	d.record(timeline.Event{Kind: timeline.KindStop, Name: "Leaving"})
+	d.Log.Info("entry VM is leaving")
+	d.Membership.Leave()
+	end := time.NewTimer(d.Settings.DrainTime)
+	defer end.Stop()
+	tick := time.NewTicker(controlInterval)
+	defer tick.Stop()
+	quietSince, before := time.Now(), d.received()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-end.C:
+			d.Log.Warn("drain time is over while packets still arrive")
+			return
+		case now := <-tick.C:
+			if n := d.received(); n != before {
+				quietSince, before = now, n
+			}
+			if now.Sub(quietSince) >= d.Settings.QuietTime {
+				return
+			}
+		}
+	}
+}
+
+func (d *Daemon) received() uint64 {
+	c := d.adapter.Counters
+	return c.FromFabric.Load() + c.FromPeer.Load() + c.FromTarget.Load()
+}
+
+func (d *Daemon) record(e timeline.Event) {
+	e.Zone = d.Settings.Zone
+	d.Recorder.Record(e, time.Now())
+}
+
+func (d *Daemon) serveHTTP(ctx context.Context) error {
+	server := &http.Server{
+		Handler:           d.handler(),
+		ReadHeaderTimeout: 5 * time.Second,
+		ReadTimeout:       10 * time.Second,
+		MaxHeaderBytes:    16 << 10,
+	}
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		grace, cancel := context.WithTimeout(context.Background(), stopTime)
+		defer cancel()
+		if server.Shutdown(grace) != nil {
+			server.Close()
+		}
+	})
+	err := server.Serve(d.HTTP)
+	if stop() {
+		return fmt.Errorf("serving HTTP: %w", err)
+	}
+	<-stopped
+	return nil
+}
+
+func (d *Daemon) announcements() *announce.Server {
+	return &announce.Server{
+		Self:      d.Settings.ID,
+		Control:   d.do,
+		Changed:   d.report,
+		Members:   d.members,
+		Client:    d.client,
+		PerClient: rate.Limit(d.Settings.AnnounceRate),
+		Burst:     int(2*d.Settings.AnnounceRate) + 1,
+	}
+}
+
+func (d *Daemon) members() []fleet.VM {
+	if v := d.view.Load(); v != nil {
+		return v.Members
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/http.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"bamboowalk.org/bamboowalk/internal/announce"
+)
+
+func (d *Daemon) handler() http.Handler {
+	metrics := prometheus.NewRegistry()
+	metrics.MustRegister(&collector{daemon: d})
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(metrics, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /health", d.health)
+	announcements := d.announcements()
+	mux.Handle("POST "+announce.Path, announcements)
+	mux.Handle("DELETE "+announce.Path, announcements)
+	return mux
+}
+
+// health answers 200 only while the fabric may send packets here.
+func (d *Daemon) health(w http.ResponseWriter, _ *http.Request) {
+	if reason := d.unhealthy(time.Now()); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "healthy")
+}
+
+func (d *Daemon) unhealthy(now time.Time) string {
+	if d.leaving.Load() {
+		return "leaving"
+	}
+	if d.view.Load() == nil {
+		return "no view is known"
+	}
+	for _, s := range d.shards {
+		if now.Sub(time.Unix(0, s.alive.Load())) > stallTime {
+			return "a shard has stalled"
+		}
+	}
+	return ""
+}
