Adopt a flow at the successor of a crashed owner by its target's answer

Cause: in the demo, a download whose owner crashed never went on: its target sends to the dead VM, and its caller sends nothing until data arrives, so that no packet brings the flow to the new owner, which dropped the answers. Change: an answer of an owned target whose predecessor was lost adopts its flow, within the idle timeout. The answer proves where the flow is, so that no request can run twice.

--- a/pkg/balancer/answer.go
+++ b/pkg/balancer/answer.go
@@ -22,6 +22,9 @@
 		p.End = End(p.Header.Step)
 	}
 	i := b.find(p)
+	if i == noEntry {
+		i = b.adoptAnswered(p, key, now)
+	}
 	if i == noEntry {
 		return b.strayAnswer(p, key, b.placement.Owner(key), out)
 	}
@@ -62,6 +65,28 @@
 	}
 }
 
+// adoptAnswered takes over a flow of a lost predecessor by an answer of its
+// target: during a download the caller may send nothing until data arrives, so
+// that no packet of its own would bring the flow here. The answer proves that
+// the flow is at the target, so that no request can run twice. It returns
+// noEntry where this VM did not inherit the target.
+func (b *Balancer) adoptAnswered(p *Packet, key fleet.TargetKey, now time.Time) uint32 {
+	at, known := b.places.at[key]
+	l := b.view.Listener(p.Flow.VIP, p.Flow.Protocol)
+	if !known || l == nil || p.End != NoEnd {
+		return noEntry
+	}
+	pl := &b.places.all[at]
+	if !pl.owned || pl.id.Service != l.Service || !pl.lostWithin(tick(now), ticks(l.Kind.IdleTimeout)) {
+		return noEntry
+	}
+	i := b.addFlow(p, l, at, now)
+	if i != noEntry {
+		b.adoptEntry(i, eventAdopt, now)
+	}
+	return i
+}
+
 // strayAnswer passes an answer without a flow to the VM that may hold it.
 func (b *Balancer) strayAnswer(p *Packet, key fleet.TargetKey, to fleet.VMID, out []Action) []Action {
 	if to == b.self || !b.isPeer(to) {
