Report when a repair is complete

Stats.Synced counts the voters whose durable copy holds the newest config, and the test takes a repair as complete only when all do.

--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -238,6 +238,22 @@
 	}
 }
 
+// syncedVoters counts the voters whose durable copy holds the newest config,
+// once it is committed.
+func (r *Replica) syncedVoters() int {
+	index := r.configs[len(r.configs)-1].index
+	if r.role != roleLeader || r.commit < max(index, r.noop) {
+		return 0
+	}
+	n := 0
+	for _, id := range r.config().voters() {
+		if p := r.progressOf(id); id == r.self || p != nil && p.match >= index {
+			n++
+		}
+	}
+	return n
+}
+
 // changeOwn proposes a config that nobody requested, so that no Result is
 // reported. A refusal is tried again at the next heartbeat.
 func (r *Replica) changeOwn(next Config) {
--- a/pkg/replica/stats.go
+++ b/pkg/replica/stats.go
@@ -5,15 +5,19 @@
 // Stats is a copy of a replica's gauges and counters since its start.
 type Stats struct {
 	// Gauges.
-	Role          string
-	Term          Term
-	Leader        fleet.VMID
-	Commit        Index
-	Applied       Index
-	LastIndex     Index
-	FirstIndex    Index
-	Voters        int
-	Learners      int
+	Role       string
+	Term       Term
+	Leader     fleet.VMID
+	Commit     Index
+	Applied    Index
+	LastIndex  Index
+	FirstIndex Index
+	Voters     int
+	Learners   int
+	// Synced is the number of voters whose durable copy has reached the newest
+	// config, as far as a leader knows. A repair is complete once all voters
+	// are synced and there is no learner.
+	Synced        int
 	SegmentBytes  int64
 	SnapshotBytes uint64
 	PendingBytes  int
@@ -52,6 +56,7 @@
 	s.LastIndex, s.FirstIndex = r.lastIndex(), r.base.Index+1
 	s.Voters = len(r.config().voters())
 	s.Learners = len(r.config().Members) - s.Voters
+	s.Synced = r.syncedVoters()
 	s.SegmentBytes, s.PendingBytes = r.wal.size, r.pendingBytes
 	s.HoldsLease = r.role == roleLeader && r.leaseValid()
 	return s
