Fix probing after a time without live peers

A VM without a lease went on with quick requests once after it had gained one.

Change: an empty round is shuffled again; a gained lease ends the quick requests.

--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -49,10 +49,15 @@
 		wait = min(wait, firstRetry<<min(m.retries, 10))
 		m.retries++
 	}
-	m.nextRenew = now.Add(wait - wait/20 + time.Duration(m.cfg.Rand.Int64N(int64(wait/10)+1)))
+	m.nextRenew = now.Add(m.jittered(wait))
 	m.toCouncil(Message{Kind: Request, Seq: m.seq, Epoch: m.view.Epoch, Incarnation: m.cfg.Incarnation})
 }
 
+// jittered varies an interval by 5 %, so that the VMs of a zone spread out.
+func (m *Machine) jittered(d time.Duration) time.Duration {
+	return d - d/20 + time.Duration(m.cfg.Rand.Int64N(int64(d/10)+1))
+}
+
 func (m *Machine) handleGrant(from fleet.VMID, msg *Message, now time.Time) {
 	if !m.inCouncil(from) {
 		return
@@ -108,6 +113,8 @@
 	m.hadLease = has
 	if has {
 		m.retries = 0
+		// Ends the quick repetition of requests.
+		m.nextRenew = m.requests[len(m.requests)-1].at.Add(m.jittered(m.cfg.RenewInterval))
 		m.record(timeline.KindLease, "Gained", "", now)
 		return
 	}
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -342,6 +342,10 @@
 }
 
 func (m *Machine) startProbes(now time.Time, out []Envelope) []Envelope {
+	// The round is empty after a time when all peers were dead.
+	if len(m.order) == 0 {
+		m.shuffle()
+	}
 	for range min(m.cfg.Fanout, len(m.order)) {
 		id, ok := m.nextPeer()
 		if !ok {
