Keep VMs that reach no majority of the council out of views

Cause: a VM that its peers hear, but that is cut from a majority of the council, stayed a member without a lease, so that nobody decided for its targets. A proposer that hears nothing could also collect promises, which stop renewals.

Change: a VM states its own fitness in its membership updates; unfit VMs leave the view unless more than a third are unfit. A council member proposes only while a majority of the council answers it.

--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -62,6 +62,7 @@
 	if !m.inCouncil(from) {
 		return
 	}
+	m.answered[from] = now
 	m.note(msg.Epoch, from, now)
 	if msg.Flags&flagProposer != 0 {
 		m.proposerID = from
@@ -105,6 +106,18 @@
 	return until
 }
 
+// Connected reports whether a majority of the council answered this VM within
+// LeaseTime; the daemon passes it to membership.Machine.SetFit.
+func (m *Machine) Connected(now time.Time) bool {
+	n := 0
+	for _, at := range m.answered {
+		if now.Sub(at) < m.cfg.LeaseTime {
+			n++
+		}
+	}
+	return m.council.Revision != 0 && n >= m.quorum()
+}
+
 func (m *Machine) noteLease(now time.Time) {
 	has := m.LeaseUntil(now).After(now)
 	if has == m.hadLease {
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -328,6 +328,28 @@
 	}
 }
 
+// Guards against a member that all others hear and that never has a lease,
+// because it reaches no majority of the council.
+func TestUnfitMember(t *testing.T) {
+	for seed := range uint64(4) {
+		z := newZone(t, seed, 10)
+		z.startAll()
+		z.mustSettle(10*time.Second, "start")
+		z.net.Run(3 * time.Second)
+		id := z.ids[9-seed] // in the council or not
+		for _, c := range z.council.Members[:4] {
+			z.net.Cut(c, id)
+		}
+		out := func() bool { _, in := z.vms[z.ids[0]].lease.View().Member(id); return !in }
+		if !z.net.RunUntil(6*time.Second, out) {
+			t.Errorf("seed %d: %s has no lease and stays in the view", seed, id)
+		}
+		z.net.Heal()
+		z.mustSettle(10*time.Second, "heal")
+		z.mustHold("unfit member")
+	}
+}
+
 // Guards against a council change that loses the view, repeats an epoch or
 // leaves two councils active.
 func TestCouncilChange(t *testing.T) {
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -97,6 +97,7 @@
 		seq        uint32
 		requests   []request
 		granted    map[fleet.VMID]time.Time // sending time of the last granted request in view.Epoch
+		answered   map[fleet.VMID]time.Time // last reply of a council member
 		nextRenew  time.Time
 		retries    int
 		hadLease   bool
@@ -141,7 +142,7 @@
 	}
 	m := &Machine{
 		cfg: cfg, self: cfg.Self.ID, born: now, view: &View{}, nextRenew: now,
-		granted: make(map[fleet.VMID]time.Time), wanted: make(map[fleet.TargetKey]fleet.Target),
+		granted: make(map[fleet.VMID]time.Time), answered: make(map[fleet.VMID]time.Time), wanted: make(map[fleet.TargetKey]fleet.Target),
 	}
 	m.acceptor.reset()
 	m.proposer.pending = make(map[fleet.TargetKey]change)
@@ -164,6 +165,7 @@
 	m.old = m.council.Members
 	m.council = Council{Revision: c.Revision, Members: slices.Sorted(slices.Values(c.Members))}
 	clear(m.granted)
+	clear(m.answered)
 	m.nextRenew, m.proposal, m.proposerID = now, nil, ""
 	m.acceptor.begin(m, first, now)
 }
--- a/pkg/lease/message.go
+++ b/pkg/lease/message.go
@@ -69,7 +69,8 @@
 	}
 
 	// Message is a datagram of the lease protocol. Revision is the settings
-	// revision of the council that the sender knows.
+	// revision of the council that the sender knows, Known the highest epoch
+	// that it knows, or in Fetch the epoch of which it has some chunks.
 	Message struct {
 		Kind        Kind              `cbor:"1,keyasint"`
 		Revision    uint32            `cbor:"2,keyasint,omitempty"`
--- a/pkg/lease/proposer.go
+++ b/pkg/lease/proposer.go
@@ -105,7 +105,9 @@
 	if !m.intact || !m.candidates || !m.current() || now.Before(m.backoff) {
 		return
 	}
-	if now.Sub(m.lastEpoch) < m.cfg.EpochInterval {
+	// A proposer that hears no majority would only collect promises, which
+	// stop leases.
+	if now.Sub(m.lastEpoch) < m.cfg.EpochInterval || !m.Connected(now) {
 		return
 	}
 	stalled := m.vote.epoch == m.view.Epoch+1 && now.Sub(m.vote.since) > m.cfg.BallotTimeout
@@ -247,8 +249,8 @@
 	m.backoff = now.Add(50*time.Millisecond + time.Duration(m.cfg.Rand.Int64N(int64(200*time.Millisecond))))
 }
 
-// answered returns the ballot that a reply belongs to, or nil.
-func (m *Machine) answered(msg *Message, accept bool, now time.Time) *proposal {
+// ballotOf returns the ballot that a reply belongs to, or nil.
+func (m *Machine) ballotOf(msg *Message, accept bool, now time.Time) *proposal {
 	p := m.proposal
 	if p == nil || p.accept != accept || p.epoch != msg.Epoch || p.ballot != *msg.Ballot || m.expired(p, now) {
 		return nil
@@ -257,7 +259,7 @@
 }
 
 func (m *Machine) handlePromise(from fleet.VMID, msg *Message, now time.Time) {
-	p := m.answered(msg, false, now)
+	p := m.ballotOf(msg, false, now)
 	if p == nil {
 		return
 	}
@@ -274,7 +276,7 @@
 }
 
 func (m *Machine) handleAccepted(from fleet.VMID, msg *Message, now time.Time) {
-	p := m.answered(msg, true, now)
+	p := m.ballotOf(msg, true, now)
 	if p == nil {
 		return
 	}
--- a/pkg/lease/zone_test.go
+++ b/pkg/lease/zone_test.go
@@ -53,6 +53,7 @@
 		v.next = now.Add(50 * time.Millisecond)
 		v.lease.SetCandidates(v.mem.Candidates(now))
 		v.mem.SetEpoch(v.lease.View().Epoch)
+		v.mem.SetFit(v.lease.Connected(now))
 	}
 	out := append(v.members(v.mem.Tick(now)), v.leases(v.lease.Tick(now))...)
 	v.z.check.observe(v)
--- a/pkg/membership/doc.go
+++ b/pkg/membership/doc.go
@@ -25,6 +25,9 @@
 // Hold-down. The second and later unplanned deaths within HoldDecay keep a VM
 // out of new views for HoldBase doubled each time, up to HoldMax.
 //
+// Fitness. A VM that its peers hear may still reach no majority of the council
+// and then holds no lease. It says so itself (SetFit), and is kept out of views.
+//
 // Zones. Delegates collect the free slots of their zone (Report) and send
 // digests to two VMs of each other zone: a ZoneState (epoch, free slots) and
 // member entries in turn, changed ones first. Inside the zone both are
--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -102,6 +102,18 @@
 	m.moveSelf(eventLeave, "Leave", now)
 }
 
+// SetFit tells the zone whether this VM reaches a majority of the council; a
+// VM that does not is kept out of views, since it can hold no lease.
+func (m *Machine) SetFit(fit bool) {
+	if m.unfit == !fit {
+		return
+	}
+	m.unfit = !fit
+	m.refutation++
+	m.generation++
+	m.broadcast(m.cfg.Self.ID)
+}
+
 func (m *Machine) moveSelf(ev chart.Event, cause string, now time.Time) {
 	next, err := vmChart.Next(m.state, ev)
 	if err != nil {
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -98,6 +98,7 @@
 
 		state      chart.State // of self
 		refutation uint32
+		unfit      bool
 		superseded fleet.Incarnation
 		seq        uint32
 		generation uint64
@@ -191,7 +192,7 @@
 	if e != nil && (e.state == stateSuspect || e.state == stateDead) && msg.Kind != Join {
 		// The sender objects to a suspicion, even where its own update is lost.
 		u := e.update()
-		u.Incarnation, u.Refutation, u.State = msg.Incarnation, msg.Refutation, stateAlive
+		u.Incarnation, u.Refutation, u.State, u.Unfit = msg.Incarnation, msg.Refutation, stateAlive, msg.Unfit
 		m.merge(u, now)
 	}
 	stale := m.mergeAll(&msg, now)
@@ -518,7 +519,7 @@
 }
 
 func (m *Machine) header(msg Message) Message {
-	msg.Incarnation, msg.Refutation = m.cfg.Incarnation, m.refutation
+	msg.Incarnation, msg.Refutation, msg.Unfit = m.cfg.Incarnation, m.refutation, m.unfit
 	return msg
 }
 
@@ -533,7 +534,7 @@
 func (m *Machine) selfUpdate() Update {
 	return Update{
 		ID: m.cfg.Self.ID, Control: m.cfg.Self.Control, Data: m.cfg.Self.Data,
-		Incarnation: m.cfg.Incarnation, Refutation: m.refutation, State: m.state,
+		Incarnation: m.cfg.Incarnation, Refutation: m.refutation, State: m.state, Unfit: m.unfit,
 	}
 }
 
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -48,6 +48,8 @@
 		Incarnation fleet.Incarnation `cbor:"5,keyasint"`
 		Refutation  uint32            `cbor:"6,keyasint,omitempty"`
 		State       chart.State       `cbor:"7,keyasint"`
+		// Unfit tells that the VM itself reaches no majority of the council.
+		Unfit bool `cbor:"8,keyasint,omitempty"`
 	}
 
 	// Slots is the number of free slots of one service.
@@ -68,8 +70,8 @@
 		Spare       []Slots           `cbor:"6,keyasint,omitempty"`
 	}
 
-	// Message is a datagram between entry VMs. Incarnation and Refutation are
-	// the sender's.
+	// Message is a datagram between entry VMs. Incarnation, Refutation and
+	// Unfit are the sender's.
 	Message struct {
 		Kind        Kind              `cbor:"1,keyasint"`
 		Seq         uint32            `cbor:"2,keyasint,omitempty"`
@@ -84,6 +86,7 @@
 		Spare       []Slots           `cbor:"11,keyasint,omitempty"`
 		// Unknown asks the receiver to introduce itself by a full Update.
 		Unknown bool `cbor:"12,keyasint,omitempty"`
+		Unfit   bool `cbor:"13,keyasint,omitempty"`
 	}
 
 	// Envelope is a message and the VM that it goes to.
@@ -203,7 +206,7 @@
 
 // size bounds the encoded size of an update from above.
 func (u *Update) size() int {
-	return 27 + len(u.ID) + len(u.Zone) + addressSize(u.Control) + addressSize(u.Data)
+	return 29 + len(u.ID) + len(u.Zone) + addressSize(u.Control) + addressSize(u.Data)
 }
 
 func addressSize(a netip.AddrPort) int {
--- a/pkg/membership/query.go
+++ b/pkg/membership/query.go
@@ -11,7 +11,7 @@
 	var out []Member
 	self := Member{
 		Member: fleet.Member{VM: m.cfg.Self, Incarnation: m.cfg.Incarnation},
-		Zone:   m.cfg.Zone, State: vmChart.StateName(m.state),
+		Zone:   m.cfg.Zone, State: vmChart.StateName(m.state), Unfit: m.unfit,
 	}
 	done := false
 	for _, id := range m.ids {
@@ -25,7 +25,7 @@
 		}
 		out = append(out, Member{
 			Member: fleet.Member{VM: e.vm, Incarnation: e.incarnation},
-			Zone:   e.zone, State: vmChart.StateName(e.state), Held: now.Before(e.hold),
+			Zone:   e.zone, State: vmChart.StateName(e.state), Held: now.Before(e.hold), Unfit: e.unfit,
 		})
 	}
 	if !done {
@@ -35,13 +35,30 @@
 }
 
 // Candidates returns the VMs that a new view may take in, and those that stay
-// if they are in it already: suspected or held-down VMs stay but do not join.
+// if they are in it already: suspected and held-down VMs stay but do not join.
+// Unfit VMs do neither; where more than a third of the VMs are unfit, the
+// fault is the council's, and they stay.
 func (m *Machine) Candidates(now time.Time) (join, stay []fleet.Member) {
-	for _, mem := range m.Members(now) {
+	list := m.Members(now)
+	live, unfit := 0, 0
+	for i := range list {
+		if list[i].State != "Alive" && list[i].State != "Suspect" {
+			continue
+		}
+		live++
+		if list[i].Unfit {
+			unfit++
+		}
+	}
+	for i := range list {
+		mem := &list[i]
+		alive := mem.State == "Alive"
 		switch {
-		case mem.State == "Alive" && !mem.Held:
+		case !alive && mem.State != "Suspect":
+		case mem.Unfit && unfit <= live/3:
+		case alive && !mem.Held && !mem.Unfit:
 			join = append(join, mem.Member)
-		case mem.State == "Alive" || mem.State == "Suspect":
+		default:
 			stay = append(stay, mem.Member)
 		}
 	}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -40,6 +40,7 @@
 		incarnation fleet.Incarnation
 		refutation  uint32
 		state       chart.State
+		unfit       bool      // by the VM's own statement
 		since       time.Time // of the state
 		deadline    time.Time // of Suspect, Joining and Dead
 		heard       time.Time // last datagram from the VM itself
@@ -58,6 +59,8 @@
 		State string // a state of the chart entryvm
 		// Held tells that the VM has flapped and joins no view yet.
 		Held bool
+		// Unfit tells that the VM says it reaches no majority of the council.
+		Unfit bool
 	}
 
 	// broadcast is an update that is still to be piggybacked.
@@ -68,7 +71,7 @@
 )
 
 func (e *entry) update() Update {
-	u := Update{ID: e.vm.ID, Zone: e.zone, Incarnation: e.incarnation, Refutation: e.refutation, State: e.state}
+	u := Update{ID: e.vm.ID, Zone: e.zone, Incarnation: e.incarnation, Refutation: e.refutation, State: e.state, Unfit: e.unfit}
 	if e.state != stateDead {
 		u.Control, u.Data = e.vm.Control, e.vm.Data
 	}
@@ -118,6 +121,7 @@
 		m.restart(e, now)
 	}
 	m.moveTo(e, u.State, "Gossip", now)
+	m.noteFit(e, u.Unfit, now)
 	m.broadcast(e.vm.ID)
 	return true
 }
@@ -133,7 +137,7 @@
 	e := &entry{
 		vm: fleet.VM{ID: u.ID, Control: u.Control, Data: u.Data}, zone: u.Zone,
 		incarnation: u.Incarnation, refutation: u.Refutation,
-		state: vmChart.Initial(), since: now, deadline: now.Add(m.cfg.JoinTime),
+		state: vmChart.Initial(), unfit: u.Unfit, since: now, deadline: now.Add(m.cfg.JoinTime),
 	}
 	m.table[u.ID] = e
 	m.timed[u.ID] = struct{}{}
@@ -216,9 +220,8 @@
 		if prev == stateSuspect {
 			m.stats.Refutations++
 		}
-		if e.holdFor > 0 && prev != stateSuspect {
-			e.hold, e.holdFor = now.Add(e.holdFor), 0
-			m.stats.HoldDowns++
+		if prev != stateSuspect {
+			m.startHold(e, now)
 		}
 	}
 	m.generation++
@@ -244,6 +247,32 @@
 	e.holdFor = hold
 }
 
+// startHold begins the hold-down of a VM that has returned.
+func (m *Machine) startHold(e *entry, now time.Time) {
+	if e.holdFor <= 0 {
+		return
+	}
+	e.hold, e.holdFor = now.Add(e.holdFor), 0
+	m.stats.HoldDowns++
+}
+
+// noteFit follows a VM's own statement; its absence from the view counts like
+// a death.
+func (m *Machine) noteFit(e *entry, unfit bool, now time.Time) {
+	if e.unfit == unfit {
+		return
+	}
+	e.unfit = unfit
+	m.generation++
+	if unfit {
+		m.countFlap(e, now)
+		m.record(e, "Unfit", now)
+		return
+	}
+	m.startHold(e, now)
+	m.record(e, "Fit", now)
+}
+
 func (m *Machine) record(e *entry, cause string, now time.Time) {
 	m.cfg.Recorder.Record(timeline.Event{
 		Kind: timeline.KindMember, Name: vmChart.StateName(e.state), Zone: e.zone, VM: e.vm.ID, Cause: cause,
