--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -49,14 +49,20 @@
 		wait = min(wait, firstRetry<<min(m.retries, 10))
 		m.retries++
 	}
-	m.nextRenew = now.Add(wait - wait/20 + time.Duration(m.cfg.Rand.Int64N(int64(wait/10)+1)))
+	m.nextRenew = now.Add(m.jittered(wait))
 	m.toCouncil(Message{Kind: Request, Seq: m.seq, Epoch: m.view.Epoch, Incarnation: m.cfg.Incarnation})
 }
 
+// jittered varies an interval by 5 %, so that the VMs of a zone spread out.
+func (m *Machine) jittered(d time.Duration) time.Duration {
+	return d - d/20 + time.Duration(m.cfg.Rand.Int64N(int64(d/10)+1))
+}
+
 func (m *Machine) handleGrant(from fleet.VMID, msg *Message, now time.Time) {
 	if !m.inCouncil(from) {
 		return
 	}
+	m.answered[from] = now
 	m.note(msg.Epoch, from, now)
 	if msg.Flags&flagProposer != 0 {
 		m.proposerID = from
@@ -100,6 +106,18 @@
 	return until
 }
 
+// Connected reports whether a majority of the council answered this VM within
+// LeaseTime; the daemon passes it to membership.Machine.SetFit.
+func (m *Machine) Connected(now time.Time) bool {
+	n := 0
+	for _, at := range m.answered {
+		if now.Sub(at) < m.cfg.LeaseTime {
+			n++
+		}
+	}
+	return m.council.Revision != 0 && n >= m.quorum()
+}
+
 func (m *Machine) noteLease(now time.Time) {
 	has := m.LeaseUntil(now).After(now)
 	if has == m.hadLease {
@@ -108,6 +126,8 @@
 	m.hadLease = has
 	if has {
 		m.retries = 0
+		// Ends the quick repetition of requests.
+		m.nextRenew = m.requests[len(m.requests)-1].at.Add(m.jittered(m.cfg.RenewInterval))
 		m.record(timeline.KindLease, "Gained", "", now)
 		return
 	}
--- a/pkg/membership/doc.go
+++ b/pkg/membership/doc.go
@@ -3,8 +3,9 @@
 //
 // Probing. Every ProbeInterval a VM pings Fanout peers in a shuffled round, so
 // each peer is probed once per round. Without an Ack within ProbeTimeout it
-// asks Indirect others to probe the peer, then suspects it. A suspect that does
-// not object within SuspicionTime is dead. All VM states change along the chart
+// asks Indirect others to probe the peer, then suspects it. Each VM that hears
+// of the suspicion asks the suspect itself if no objection has come meanwhile. A
+// suspect that does not object within SuspicionTime is dead. All VM states change along the chart
 // entryvm.
 //
 // Order of statements. An Update carries (Incarnation, Refutation, State). Only
@@ -25,6 +26,9 @@
 // Hold-down. The second and later unplanned deaths within HoldDecay keep a VM
 // out of new views for HoldBase doubled each time, up to HoldMax.
 //
+// Fitness. A VM that its peers hear may still reach no majority of the council
+// and then holds no lease. It says so itself (SetFit), and is kept out of views.
+//
 // Zones. Delegates collect the free slots of their zone (Report) and send
 // digests to two VMs of each other zone: a ZoneState (epoch, free slots) and
 // member entries in turn, changed ones first. Inside the zone both are
