--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -124,6 +124,7 @@
 		strayPackets int
 		lostPackets  int
 		packets      int
+		open         int // requests that are not closed
 		passes       int
 		attempts     int
 		drops        map[balancer.Cause]int
@@ -247,6 +248,7 @@
 func (c *collector) offered(r *request) {
 	k := &c.kinds[r.kind]
 	k.sample.Offered++
+	c.open++
 	if !c.counts(r) {
 		return
 	}
@@ -254,6 +256,11 @@
 	k.work += r.service
 }
 
+func (c *collector) close(r *request) {
+	r.closed = true
+	c.open--
+}
+
 func (c *collector) retried(r *request) {
 	if c.counts(r) {
 		c.kinds[r.kind].retries++
@@ -288,7 +295,7 @@
 	if r.closed {
 		return
 	}
-	r.closed = true
+	c.close(r)
 	k := &c.kinds[r.kind]
 	k.sample.OnTime++
 	k.useful += r.used
@@ -304,7 +311,7 @@
 	if r.closed {
 		return
 	}
-	r.closed = true
+	c.close(r)
 	c.kinds[r.kind].sample.Refused++
 	if c.counts(r) {
 		c.kinds[r.kind].refused[cause]++
@@ -317,7 +324,7 @@
 	if r.closed {
 		return
 	}
-	r.closed = true
+	c.close(r)
 	k := &c.kinds[r.kind]
 	k.sample.Late++
 	if !c.counts(r) {
@@ -347,7 +354,7 @@
 		if r.closed {
 			return
 		}
-		r.closed = true
+		c.close(r)
 		c.kinds[r.kind].sample.Late++
 		if c.counts(r) {
 			c.kinds[r.kind].unanswered++
--- a/internal/load/world.go
+++ b/internal/load/world.go
@@ -173,6 +173,10 @@
 	// the collector counts them as open.
 	end := w.load.Duration + min(longest, drainTime)
 	for w.step(end) {
+		// Late packets of the last requests are still watched for a while.
+		if w.now > w.load.Duration && w.result.open == 0 {
+			end = min(end, w.now+forgetTime)
+		}
 	}
 }
 
