Ask all possible holders in the model of strategy 3

Besides, the model asked only the owner of c2 after a change and offered a flow to another zone again as ToSecond.

The model asks the owners of all candidates of the views of the last idle timeout; passes of an ask don't count against the hop limit.

A hop limit of 8 does not leave room for a list of asks that returns to the asking VM each time.

--- a/internal/load/owner.go
+++ b/internal/load/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"bamboowalk.org/bamboowalk/pkg/admission"
@@ -46,12 +47,13 @@
 	flowState uint8
 
 	// targetOwner is a small model of strategy 3 around the real admission
-	// control. It leaves out the copy of exceptions: after a change of owner it
-	// asks the owner of c2 instead.
+	// control. It leaves out the copy of exceptions: after a change of owners or
+	// candidates it asks all that may hold the flow.
 	targetOwner struct {
 		limit  newLimiter
 		view   *fleet.View
 		sealed *fleet.View // the last sealed view
+		past   []pastView  // views whose flows may still be open
 		owned  map[fleet.TargetKey]*ownedTarget
 		owners map[fleet.TargetKey]fleet.VMID
 		flows  map[fleet.FlowKey]*flowRecord
@@ -63,6 +65,11 @@
 		out  []balancer.Action
 	}
 
+	pastView struct {
+		view *fleet.View
+		at   time.Time // when it was replaced
+	}
+
 	flowEnd struct {
 		flow  fleet.FlowKey
 		until time.Time
@@ -71,15 +78,13 @@
 	ownedTarget struct {
 		target  *fleet.Target
 		limiter limiter
-		// inherits is the end of the time in which flows of a predecessor may
-		// be unknown here.
-		inherits time.Time
 	}
 
 	flowRecord struct {
 		state   flowState
 		target  fleet.TargetKey
 		place   fleet.VMID // where an offered flow went
+		offer   balancer.Mode
 		origin  fleet.VMID // who offered a returned flow
 		kind    *fleet.Kind
 		service fleet.ServiceID
@@ -104,6 +109,12 @@
 // SetView takes a new view and the ownership that follows from it.
 func (o *targetOwner) SetView(v *fleet.View, now time.Time) {
 	first := o.view == nil
+	if !first && v.Epoch != o.view.Epoch {
+		o.past = append(o.past, pastView{view: o.view, at: now})
+	}
+	for len(o.past) > 0 && now.After(o.past[0].at.Add(o.longestIdle())) {
+		o.past = o.past[1:]
+	}
 	o.view = v
 	if v.Sealed {
 		o.sealed = v
@@ -134,7 +145,6 @@
 	if owned == nil {
 		owned = &ownedTarget{limiter: o.limit(*t, kinds, now)}
 		if !first && t.State == fleet.TargetReady {
-			owned.inherits = now.Add(longestIdle(kinds))
 			owned.limiter.Takeover(0, now)
 		}
 		o.owned[key] = owned
@@ -145,10 +155,10 @@
 	}
 }
 
-func longestIdle(kinds []fleet.Kind) time.Duration {
+func (o *targetOwner) longestIdle() time.Duration {
 	d := time.Duration(0)
-	for _, k := range kinds {
-		d = max(d, k.IdleTimeout)
+	for i := range o.view.Listeners {
+		d = max(d, o.view.Listeners[i].Kind.IdleTimeout)
 	}
 	return d
 }
@@ -244,6 +254,7 @@
 		o.adopt(&p, l, p.Header.Target, now)
 	case balancer.Ask:
 		o.pass(&p, balancer.NotHere, p.Header.Origin, p.Header.Target)
+		o.out[len(o.out)-1].Header.Step = p.Header.Step
 	case balancer.NotHere:
 		o.unheld(&p, l, now)
 	case balancer.Returned:
@@ -275,9 +286,9 @@
 	case flowRunning:
 		o.forwardKnown(p, rec, owned, now)
 	case flowOffered:
-		mode := balancer.Established
-		if rec.epoch == o.view.Epoch && p.Start {
-			mode = balancer.ToSecond
+		mode := rec.offer
+		if mode == balancer.ToSecond && (rec.epoch != o.view.Epoch || !p.Start) {
+			mode = balancer.Established
 		}
 		o.pass(p, mode, rec.place, rec.target)
 	case flowReturned:
@@ -341,20 +352,80 @@
 		o.pass(p, balancer.ToFirst, owner, key)
 		return
 	}
-	if second != nil && now.Before(o.owned[key].inherits) && o.owners[second.ID.Key()] != o.view.Self {
-		o.pass(p, balancer.Ask, o.owners[second.ID.Key()], key)
+	if o.ask(p, l, 0, now) {
 		return
 	}
 	o.decide(p, l, first, second, now)
 }
 
-// unheld continues after the owner of c2 said that it does not hold the flow.
+// ask passes the packet to the next VM that may hold the flow, from the given
+// position on, and reports false where none is left.
+func (o *targetOwner) ask(p *balancer.Packet, l *fleet.Listener, step uint8, now time.Time) bool {
+	places := o.holders(p.Flow, l, now)
+	if int(step) >= len(places) {
+		return false
+	}
+	o.pass(p, balancer.Ask, places[step], 0)
+	o.out[len(o.out)-1].Header.Step = step
+	return true
+}
+
+// holders lists the other VMs that may hold a flow that is unknown here, since
+// its candidates or their owners have changed lately.
+func (o *targetOwner) holders(flow fleet.FlowKey, l *fleet.Listener, now time.Time) []fleet.VMID {
+	if len(o.past) == 0 {
+		return nil
+	}
+	var places []fleet.VMID
+	add := func(v *fleet.View, t *fleet.Target) {
+		if t == nil {
+			return
+		}
+		vm := memberFor(v.Members, uint64(t.ID.Key()))
+		if vm != o.view.Self && o.view.Member(vm) != nil && !slices.Contains(places, vm) {
+			places = append(places, vm)
+		}
+	}
+	h := flow.Hash()
+	first, second := candidates(o.view, l.Service, h)
+	changed := false
+	for _, past := range o.past {
+		if !past.inherits(l, now) {
+			continue
+		}
+		before, beforeSecond := candidates(past.view, l.Service, h)
+		if o.moved(past.view, first, before) || o.moved(past.view, second, beforeSecond) {
+			changed = true
+			add(past.view, before)
+			add(past.view, beforeSecond)
+		}
+	}
+	if !changed {
+		return nil
+	}
+	add(o.view, second)
+	return places
+}
+
+// inherits reports whether flows of the listener that were placed by the view
+// may still be open.
+func (p *pastView) inherits(l *fleet.Listener, now time.Time) bool {
+	return now.Before(p.at.Add(l.Kind.IdleTimeout))
+}
+
+// unheld continues after a VM said that it does not hold the flow.
 func (o *targetOwner) unheld(p *balancer.Packet, l *fleet.Listener, now time.Time) {
 	first, second := candidates(o.view, l.Service, p.Flow.Hash())
 	if first == nil || o.owned[first.ID.Key()] == nil {
 		o.drop(p, causeUnknownFlow)
 		return
 	}
+	// A visit takes two passes. The list of places bounds visits, and would
+	// use up the hop limit after two changes of candidates.
+	p.Header.Hops -= 2
+	if o.ask(p, l, p.Header.Step+1, now) {
+		return
+	}
 	if !l.Kind.Idempotent {
 		// A predecessor may have forwarded it to c1, so it stays there.
 		second = nil
@@ -368,7 +439,7 @@
 	case p.End == balancer.Reset:
 		o.drop(p, causeCancelled)
 		return
-	case !p.Start && now.Before(owned.inherits):
+	case !p.Start && len(o.past) > 0 && o.past[len(o.past)-1].inherits(l, now):
 		o.adopt(p, l, first.ID.Key(), now)
 		return
 	case !p.Start:
@@ -398,6 +469,7 @@
 		return
 	}
 	rec.state = flowOffered
+	rec.offer = balancer.ToSecond
 	rec.place = o.owners[key]
 	rec.epoch = o.view.Epoch
 	rec.target = key
@@ -413,15 +485,17 @@
 	h := flow.Hash()
 	first, second := candidates(o.view, s, h)
 	before, beforeSecond := candidates(o.sealed, s, h)
-	return o.moved(first, before) || o.moved(second, beforeSecond)
+	return o.moved(o.sealed, first, before) || o.moved(o.sealed, second, beforeSecond)
 }
 
-func (o *targetOwner) moved(a, b *fleet.Target) bool {
+// moved reports whether a candidate or its owner differs from that of a past
+// view.
+func (o *targetOwner) moved(past *fleet.View, a, b *fleet.Target) bool {
 	if a == nil || b == nil {
 		return a != b
 	}
 	key := a.ID.Key()
-	return a.ID != b.ID || o.owners[key] != memberFor(o.sealed.Members, uint64(key))
+	return a.ID != b.ID || o.owners[key] != memberFor(past.Members, uint64(key))
 }
 
 // offered decides on a flow that another owner offers.
@@ -486,6 +560,7 @@
 	rec.cause = causeOf(err)
 	if z := o.spareZone(rec.service); z != nil {
 		rec.state = flowOffered
+		rec.offer = balancer.Overflow
 		rec.epoch = o.view.Epoch
 		rec.place = memberFor(z.Members, uint64(p.Flow.Hash()))
 		o.pass(p, balancer.Overflow, rec.place, rec.target)
