Let a kind recover from a slow target and from idle time

Cause: once the mean service time exceeded the deadline, every request was refused as unable to end in time, and without starts the mean never fell. Of two kinds with equal urgency, one that had been idle took all slots until it had caught up.

Change: a new request is taken to need at most 0.75 of its deadline. A kind whose queue was empty continues at the level of its peers.

Conclusion: both states end by themselves now.

--- a/pkg/admission/class.go
+++ b/pkg/admission/class.go
@@ -15,6 +15,10 @@
 // that a flood from many addresses can create.
 const callerBuckets = 256
 
+// mostNeed is the part of its deadline that a new request is taken to need at
+// most.
+const mostNeed = 0.75
+
 // recentTime is the time in which the weight of an earlier start halves.
 const recentTime = 500 * time.Millisecond
 
@@ -37,6 +41,7 @@
 		running int
 		credit  float64 // slot seconds earned by the share and not yet used
 		passed  float64 // slot seconds started, divided by the weight
+		level   float64 // passed of the kind of equal urgency that started last
 		service float64 // mean seconds in a slot
 		normal  float64 // slow mean of the same
 		samples int     // observations of normal
@@ -97,9 +102,16 @@
 		c.service > longShare*other.kind.Deadline.Seconds()
 }
 
+// need is the time that a request must have left when it starts. It stays
+// below the deadline however slow the target was, since a kind of which nothing
+// starts would never be seen to be fast again.
+func (c *class) need() time.Duration {
+	return seconds(min(c.service, mostNeed*c.kind.Deadline.Seconds()))
+}
+
 // cannotEnd reports whether r would miss its deadline if it started now.
 func (c *class) cannotEnd(r *Request, now time.Time) bool {
-	return now.Add(seconds(c.service)).After(r.Deadline)
+	return now.Add(c.need()).After(r.Deadline)
 }
 
 func (c *class) find(flow fleet.FlowKey) int {
@@ -203,7 +215,7 @@
 
 // expire removes the requests that can no longer end by their deadline.
 func (c *class) expire(now time.Time, out []Request) []Request {
-	if len(c.queue) == 0 || !now.Add(seconds(c.service)).After(c.earliest) {
+	if len(c.queue) == 0 || !now.Add(c.need()).After(c.earliest) {
 		return out
 	}
 	kept := c.queue[:0]
--- a/pkg/admission/doc.go
+++ b/pkg/admission/doc.go
@@ -19,7 +19,10 @@
 //
 // A slot that runs a request can't be called back. A kind whose requests take
 // longer than a quarter of the deadline of a more urgent kind with a share
-// therefore never fills the last slots, even where those are idle.
+// therefore never fills the last slots, even where those are idle; at a limit
+// of one it may take the slot, since it would never run otherwise.
+//
+// Among kinds of equal urgency without credit, slot time goes by weight.
 //
 // # Order within a kind
 //
--- a/pkg/admission/flood_test.go
+++ b/pkg/admission/flood_test.go
@@ -236,3 +236,39 @@
 		t.Errorf("got lowest limit %d, want half of the slots", lowest)
 	}
 }
+
+// Guards against a kind that is refused for good after the target was slow for
+// a while: without a start the estimate of its service time can't fall.
+func TestSlowTimeDoesNotStopAKindForGood(t *testing.T) {
+	b := newBench(NewLimiter(target(2), kinds(), start), 2)
+	b.run(5*time.Second, source{kind: "Lookup", caller: 1, load: 1, service: 500 * time.Millisecond})
+	b.run(5*time.Second, source{kind: "Lookup", caller: 1, load: 0.5, service: 10 * time.Millisecond})
+	before := b.served["Lookup"]
+	const d = 2 * time.Second
+	b.run(d, source{kind: "Lookup", caller: 1, load: 0.5, service: 10 * time.Millisecond})
+	if got := (b.served["Lookup"] - before).Seconds() / (2 * d.Seconds()); got < 0.4 {
+		t.Errorf("got %.3f of the slots for an offered 0.5 after the slow time", got)
+	}
+}
+
+// Guards the weights between kinds of equal urgency, also after one was idle
+// and could claim the slots that it did not use.
+func TestWeightsDivideEqualUrgency(t *testing.T) {
+	equal := kinds()[:2]
+	for i := range equal {
+		equal[i].Urgency, equal[i].Share, equal[i].Weight = 2, 0, float64(3-2*i)
+	}
+	b := newBench(NewLimiter(target(3), equal, start), 3)
+	orders := source{kind: "Order", caller: 1, load: 4, service: 10 * time.Millisecond}
+	lookups := source{kind: "Lookup", caller: 2, load: 4, service: 10 * time.Millisecond}
+	b.run(5*time.Second, lookups)
+	for range 3 {
+		before := b.served["Order"].Seconds()
+		beforeLookup := b.served["Lookup"].Seconds()
+		b.run(time.Second, orders, lookups)
+		ratio := (b.served["Order"].Seconds() - before) / (b.served["Lookup"].Seconds() - beforeLookup)
+		if ratio < 2 || ratio > 4.5 {
+			t.Errorf("got %.2f times as much for three times the weight", ratio)
+		}
+	}
+}
--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -224,6 +224,7 @@
 	if !l.mayStart(c, limit) || c.cannotEnd(&r, now) {
 		return false
 	}
+	c.catchUp()
 	if first := l.first(limit); first != nil && goesBefore(first, c) {
 		return false
 	}
@@ -250,12 +251,30 @@
 	}
 	c.turn(caller)
 	c.running++
-	c.passed += c.service / c.kind.Weight
+	l.charge(c)
 	c.stats.Started++
 	l.running[r.Flow] = run{class: c, since: now, caller: caller, charge: charge}
 	l.report.observe(len(l.running), now)
 }
 
+// charge counts a start in the weighted order of kinds of equal urgency.
+func (l *Limiter) charge(c *class) {
+	for _, other := range l.classes {
+		if other.kind.Urgency == c.kind.Urgency {
+			other.level = c.passed
+		}
+	}
+	c.passed += c.service / c.kind.Weight
+}
+
+// catchUp keeps a kind that was idle from having all slots until it has passed
+// as much as the others.
+func (c *class) catchUp() {
+	if len(c.queue) == 0 {
+		c.passed = max(c.passed, c.level)
+	}
+}
+
 // mayStart reports whether a slot is free for the class: one below the limit,
 // and for long requests one that is not kept for more urgent kinds.
 func (l *Limiter) mayStart(c *class, limit int) bool {
@@ -327,6 +346,7 @@
 		return nil, &RefusalError{Flow: r.Flow, Kind: r.Kind, Cause: cause}
 	}
 	c.pressure.accepted()
+	c.catchUp()
 	c.push(&r)
 	return l.evicted, nil
 }
@@ -342,7 +362,7 @@
 	most := min(maxQueue, queuePerSlot*l.capacity())
 	wait, ok := l.expectedWait(c, l.Limit(now))
 	if ok && len(c.queue) < most && c.bytes+r.Bytes <= maxQueueBytes {
-		if now.Add(wait + seconds(c.service)).After(r.Deadline) {
+		if now.Add(wait + c.need()).After(r.Deadline) {
 			return CauseDeadline
 		}
 		return ""
