--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -14,6 +14,10 @@
 // that the lease never ends.
 const staticLease = 100 * 365 * 24 * time.Hour
 
+// retentionSlack is the time beyond a deadline for which late duplicates are
+// expected (section 3, refusal retention time).
+const retentionSlack = 2 * time.Second
+
 type (
 	// Update is a change of what membership says. View is frozen, or nil where
 	// only the lease changes.
@@ -34,7 +38,9 @@
 
 	// Static is a Membership from settings: the members are always those of
 	// the settings, and targets that this VM hears of are known to this VM
-	// only.
+	// only. A VM that restarts has lost its records of earlier decisions, so
+	// that it gets its lease, without which it decides about no non-idempotent
+	// request, only once callers no longer repeat what an earlier life decided.
 	Static struct {
 		Settings *Settings
 
@@ -50,18 +56,36 @@
 // Run passes the view of the settings and one more after each report.
 func (m *Static) Run(ctx context.Context, apply func(Update)) error {
 	m.init()
+	safe := time.NewTimer(m.quarantine())
+	defer safe.Stop()
+	var lease time.Time
 	for {
 		v, err := m.view()
 		if err != nil {
 			return fmt.Errorf("view from settings: %w", err)
 		}
-		apply(Update{View: v, LeaseUntil: time.Now().Add(staticLease)})
+		apply(Update{View: v, LeaseUntil: lease})
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-m.changed:
+		case now := <-safe.C:
+			lease = now.Add(staticLease)
+		}
+	}
+}
+
+// quarantine returns the time for which a request of an earlier life may still
+// be repeated: the longest deadline of a non-idempotent kind and the slack of
+// the refusal retention time.
+func (m *Static) quarantine() time.Duration {
+	var longest time.Duration
+	for i := range m.Settings.Listeners {
+		if k := &m.Settings.Listeners[i].Kind; !k.Idempotent {
+			longest = max(longest, k.Deadline+retentionSlack)
 		}
 	}
+	return longest
 }
 
 // Report replaces the targets that were announced to this VM.
