--- a/internal/geneve/doc.go
+++ b/internal/geneve/doc.go
@@ -11,8 +11,9 @@
 // destination must be a listener.
 //
 // gopacket 1.1.19 decodes Geneve but can't serialize it. Its decoder also
-// panics on a header of 7 bytes and on more than 247 bytes of options, reads 4
-// of the 5 length bits and allocates for each option, so this package encodes
-// and decodes the 8-byte header and the options itself. The inner packets are
+// panics on a header of 7 bytes, returns the wrong payload after more than 247
+// bytes of options (its offset has 8 bits), reads 4 of the 5 length bits and
+// allocates for each option, so this package encodes and decodes the 8-byte
+// header and the options itself. The inner packets are
 // decoded and built by gopacket.
 package geneve
