Keep the memory of non-idempotent requests apart from reused ports

Change: a non-idempotent start of another instance is dropped while the earlier request is remembered; flows at another own target are handed over as exceptions; repeated refusals go through the standby and renew the retention.

--- a/pkg/balancer/flow.go
+++ b/pkg/balancer/flow.go
@@ -15,20 +15,17 @@
 		b.removeFlow(i, Completed, now)
 		return b.unknown(p, now, out)
 	}
-	e.seen = tick(now)
-	if p.Start {
-		e.noteInstance(p.Instance)
+	if p.Start && !e.isElsewhere() && !b.noteInstance(e, p) {
+		return b.drop(p, CausePortReused, out)
 	}
+	e.seen = tick(now)
 	switch e.state {
 	case stateRunning, stateEnding, stateEnded:
 		return b.toTarget(i, p, now, out)
 	case stateAway:
 		return b.away(i, p, now, out)
 	case stateRefused:
-		if p.Start {
-			return b.refuse(p, fleet.NotRun, CauseRefused, out)
-		}
-		return b.drop(p, CauseRefused, out)
+		return b.refusedAgain(i, p, now, out)
 	case stateQueued:
 		return b.queued(i, p, now, out)
 	case stateReturned, stateMoved:
@@ -37,33 +34,53 @@
 	return b.unknownResult(i, p, now, out)
 }
 
-// noteInstance takes the instance of a start packet.
-func (e *flowEntry) noteInstance(instance uint32) {
+// noteInstance takes the instance of a start packet. It returns false for a
+// non-idempotent request of another instance than the entry's: the entry does
+// not say where that one may run.
+func (b *Balancer) noteInstance(e *flowEntry, p *Packet) bool {
 	switch {
-	case e.flags&flagMixed != 0 || instance == e.instance:
-	case e.instance == 0:
-		e.instance = instance
-	default:
-		e.flags |= flagMixed
+	case p.Instance == e.instance || e.state == stateRefused:
+		return true
+	case !b.listeners.all[e.listener].Kind.Idempotent:
+		return false
+	case e.instance != 0:
 		e.flags &^= flagFinCaller | flagFinTarget
 	}
+	e.instance = p.Instance
+	return true
+}
+
+// refusedAgain gives a refused flow the same refusal, the same way as before.
+func (b *Balancer) refusedAgain(i uint32, p *Packet, now time.Time, out []Action) []Action {
+	e := &b.flows.entries[i]
+	if !p.Start {
+		return b.drop(p, CauseRefused, out)
+	}
+	e.until = tick(now) + b.listeners.all[e.listener].retention
+	if b.places.all[e.place].owned {
+		return b.sendRefusal(e, p, CauseRefused, out)
+	}
+	return b.refuse(p, fleet.NotRun, CauseRefused, out)
 }
 
 // isNewRequest reports whether a start packet begins a new request of a caller
-// that uses its port again, where the flow's earlier request is over.
+// that uses its port again, where the flow's earlier request is over. Only
+// idempotent requests can do so before the earlier one is forgotten: after
+// that, a late duplicate of the earlier one would look like a third request.
 func (b *Balancer) isNewRequest(e *flowEntry, p *Packet) bool {
-	fresh := e.flags&flagMixed == 0 && p.Instance != 0 && e.instance != 0 && p.Instance != e.instance
+	if !b.listeners.all[e.listener].Kind.Idempotent {
+		return false
+	}
+	fresh := p.Instance != 0 && e.instance != 0 && p.Instance != e.instance
 	switch e.state {
 	case stateEnded:
-		return fresh || p.Instance == 0 && b.listeners.all[e.listener].Kind.Idempotent
-	case stateRefused, stateUnknown, stateReturned:
-		return fresh
+		return fresh || p.Instance == 0
 	case stateAway:
-		return fresh && (e.flags&flagFinCaller != 0 || b.listeners.all[e.listener].Kind.Idempotent)
+		return fresh
 	case stateRunning, stateEnding:
 		// A target that drains gets no new request through an old flow.
 		t := b.places.all[e.place].target
-		return fresh && b.listeners.all[e.listener].Kind.Idempotent && t != nil && !t.TakesNewFlows()
+		return fresh && t != nil && !t.TakesNewFlows()
 	}
 	return false
 }
--- a/pkg/balancer/handover.go
+++ b/pkg/balancer/handover.go
@@ -158,6 +158,9 @@
 	if r.First.Target == nil || r.First.Key == pl.key {
 		return
 	}
+	// The new owner of the first candidate knows of flows at another target of
+	// this VM only from here.
+	b.handOverAs(&b.places.all[b.places.index(r.First.Key)], e, stateAway, now)
 	if r.First.Key != oldFirst && r.Decider != b.self {
 		b.addException(r.Decider, r.First.Key, e.hash, pl.key, false)
 	}
@@ -200,10 +203,15 @@
 
 // handOver adds an entry to the transfer of a place, if there is one.
 func (b *Balancer) handOver(pl *place, e *flowEntry, now time.Time) {
+	b.handOverAs(pl, e, e.state, now)
+}
+
+func (b *Balancer) handOverAs(pl *place, e *flowEntry, state chart.State, now time.Time) {
 	if pl.out == nil || pl.out.done {
 		return
 	}
 	rec := b.recordOf(e, now)
+	rec.State = state
 	if pl.out.message.add(rec) {
 		return
 	}
@@ -323,12 +331,13 @@
 	}
 }
 
-// applyRecord makes an entry from a record; an entry that this VM has already
-// is newer.
+// applyRecord makes an entry from a record; an entry of the same request that
+// this VM has already is newer.
 func (b *Balancer) applyRecord(rec *flowRecord, now time.Time) {
 	p := Packet{Flow: rec.Flow, hash: rec.Flow.Hash(), Instance: rec.Instance}
 	if i := b.find(&p); i != noEntry {
-		if !b.flows.entries[i].isElsewhere() {
+		e := &b.flows.entries[i]
+		if !e.isElsewhere() && (rec.Instance == 0 || e.instance == rec.Instance) {
 			return
 		}
 	}
--- a/pkg/balancer/offer.go
+++ b/pkg/balancer/offer.go
@@ -154,7 +154,7 @@
 	}
 	e := &b.flows.entries[i]
 	stale := b.places.all[e.place].key != p.Header.Target || e.epoch != uint32(p.Header.Epoch)
-	if e.state != stateAway || stale || p.Start && e.flags&flagMixed == 0 && e.instance != p.Instance {
+	if e.state != stateAway || stale || p.Start && e.instance != p.Instance {
 		return b.drop(p, CauseStale, out)
 	}
 	return b.takeBack(i, p, now, out)
--- a/pkg/balancer/route.go
+++ b/pkg/balancer/route.go
@@ -344,6 +344,7 @@
 	if i := b.find(p); i != noEntry {
 		switch b.flows.entries[i].state {
 		case stateRefused:
+			b.flows.entries[i].until = tick(now) + b.listeners.all[b.flows.entries[i].listener].retention
 			return b.refuse(p, fleet.NotRun, CauseRefused, out)
 		case stateMoved, stateReturned:
 			b.removeFlow(i, Cancelled, now)
--- a/pkg/balancer/sim_test.go
+++ b/pkg/balancer/sim_test.go
@@ -143,7 +143,7 @@
 	}
 	if want := os.Getenv("BALANCER_TRACE"); want != "" {
 		s.trace = func(format string, args ...any) {
-			if line := fmt.Sprintf(format, args...); strings.Contains(line, want+" ") {
+			if line := fmt.Sprintf(format, args...); strings.Contains(line, want) {
 				fmt.Println(line)
 			}
 		}
@@ -438,7 +438,7 @@
 		p := Packet{Flow: a.Flow, Payload: a.Payload}
 		s.decode(&p)
 		if s.trace != nil {
-			s.trace("%s %s e%d op%d mode%d step%d unc%v %s %s %s->%s hops%d", s.now.Format("05.000"), vm.id, vm.epoch, a.Op, a.Header.Mode, a.Header.Step, a.Header.Uncertain, a.Payload, a.Cause, a.Target, a.Peer, a.Header.Hops)
+			s.trace("%s %s e%d %s op%d mode%d step%d unc%v %s %s %s->%s hops%d", s.now.Format("05.000"), vm.id, vm.epoch, a.Flow.Caller, a.Op, a.Header.Mode, a.Header.Step, a.Header.Uncertain, a.Payload, a.Cause, a.Target, a.Peer, a.Header.Hops)
 		}
 		switch a.Op {
 		case Forward:
--- a/pkg/balancer/stats.go
+++ b/pkg/balancer/stats.go
@@ -23,6 +23,7 @@
 	CauseForeignAnswer Cause = "ForeignAnswer" // the answer comes from another target
 	CauseShed          Cause = "Shed"          // the target shed the request
 	CauseTargetGone    Cause = "TargetGone"    // the flow's target is gone
+	CausePortReused    Cause = "PortReused"    // an earlier non-idempotent request of the port is remembered
 	CausePaused        Cause = "Paused"        // the packet may have waited while the process was paused
 	CauseStale         Cause = "Stale"         // the packet belongs to an earlier offer
 )
--- a/pkg/balancer/table.go
+++ b/pkg/balancer/table.go
@@ -24,9 +24,6 @@
 	flagReplicated
 	// flagRetried is set on a flow that waits for the retry of a shed request.
 	flagRetried
-	// flagMixed is set after start packets with different instances. Which of
-	// them is the newer request is not known, so none counts as a new one.
-	flagMixed
 )
 
 // noEntry marks the end of a list and a missing entry.
