Identify a QUIC request by its source connection id

Cause: the core drops a start packet of another instance since it keeps requests on a reused port apart. The instance was a hash of the destination connection id, which a caller replaces in its second Initial by the target's. Change: the instance is a hash of the source connection id, which stays; the comment in pkg/balancer/packet.go says so. The demo's council no longer drops a target when a former owner reports.

--- a/internal/demo/council.go
+++ b/internal/demo/council.go
@@ -43,9 +43,10 @@
 		// members are in the view; vms also has those that left.
 		members []fleet.VM
 		vms     []*member
-		reports map[fleet.VMID][]fleet.Target
 		targets []fleet.Target
-		dirty   bool
+		// reporter is the VM that last reported a target.
+		reporter map[fleet.TargetID]fleet.VMID
+		dirty    bool
 		// unsealedUntil is the time before which a lost VM may hold a lease.
 		unsealedUntil time.Time
 	}
@@ -72,7 +73,7 @@
 	i := slices.IndexFunc(c.zones, func(z *councilZone) bool { return z.id == id })
 	if i < 0 {
 		i = len(c.zones)
-		c.zones = append(c.zones, &councilZone{id: id, dirty: true, reports: make(map[fleet.VMID][]fleet.Target)})
+		c.zones = append(c.zones, &councilZone{id: id, dirty: true, reporter: make(map[fleet.TargetID]fleet.VMID)})
 	}
 	z := c.zones[i]
 	m := &member{council: c, zone: z, vm: vm, updates: make(chan entry.Update, 64)}
@@ -189,16 +190,13 @@
 	c, z := m.council, m.zone
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	before := z.reports[m.vm.ID]
-	z.reports[m.vm.ID] = targets
-	for _, t := range before {
-		if !slices.ContainsFunc(targets, func(o fleet.Target) bool { return o.ID == t.ID }) {
-			z.targets = slices.DeleteFunc(z.targets, func(o fleet.Target) bool { return o.ID == t.ID })
-		}
-	}
+	z.targets = slices.DeleteFunc(z.targets, func(o fleet.Target) bool {
+		return z.reporter[o.ID] == m.vm.ID && !slices.ContainsFunc(targets, func(t fleet.Target) bool { return t.ID == o.ID })
+	})
 	for _, t := range targets {
 		z.targets = slices.DeleteFunc(z.targets, func(o fleet.Target) bool { return o.ID.Address == t.ID.Address })
 		z.targets = append(z.targets, t)
+		z.reporter[t.ID] = m.vm.ID
 	}
 	z.dirty = true
 }
--- a/internal/geneve/geneve_test.go
+++ b/internal/geneve/geneve_test.go
@@ -28,8 +28,8 @@
 	other4  = netip.MustParseAddrPort("198.18.0.9:443")
 )
 
-// initial is the start of a QUIC version 1 Initial with a connection id.
-var initial = []byte{0xc0, 0, 0, 0, 1, 4, 1, 2, 3, 4, 0, 0}
+// initial is the start of a QUIC version 1 Initial with both connection ids.
+var initial = []byte{0xc0, 0, 0, 0, 1, 4, 1, 2, 3, 4, 2, 7, 8, 0}
 
 func must(t testing.TB, b []byte, err error) []byte {
 	t.Helper()
@@ -137,7 +137,9 @@
 		{"FIN", tcp(caller4, vip4, layers.TCP{FIN: true}), false, false, balancer.Fin},
 		{"RST", tcp(caller6, vip6, layers.TCP{RST: true}), false, false, balancer.Reset},
 		{"Initial", udp(caller4, vip4, initial), true, true, balancer.NoEnd},
-		{"Initial of version 2", udp(caller6, vip6, []byte{0xd0, 0x6b, 0x33, 0x43, 0xcf, 1, 9, 0}), true, true, balancer.NoEnd},
+		{"Initial of version 2", udp(caller6, vip6, []byte{0xd0, 0x6b, 0x33, 0x43, 0xcf, 1, 9, 1, 5}), true, true, balancer.NoEnd},
+		{"Initial without source id", udp(caller4, vip4, []byte{0xc0, 0, 0, 0, 1, 1, 9, 0, 0}), true, false, balancer.NoEnd},
+		{"Initial cut in its id", udp(caller4, vip4, []byte{0xc0, 0, 0, 0, 1, 1, 9, 4, 1}), true, false, balancer.NoEnd},
 		{"Handshake", udp(caller4, vip4, []byte{0xe0, 0, 0, 0, 1, 1, 9, 0}), false, false, balancer.NoEnd},
 		{"short header", udp(caller4, vip4, []byte{0x40, 1, 2, 3}), false, false, balancer.NoEnd},
 		{"no QUIC", udp(caller4, netip.MustParseAddrPort("198.18.0.1:53"), []byte{0x12, 0x34}), true, false, balancer.NoEnd},
@@ -153,6 +155,22 @@
 	}
 }
 
+// Guards against a caller's second Initial that looks like a new request: its
+// destination id is the one that the target chose.
+func TestInstance(t *testing.T) {
+	second := bytes.Clone(initial)
+	copy(second[6:], []byte{9, 9, 9, 9})
+	other := bytes.Clone(initial)
+	other[11] = 1
+	first := quicInstance(initial)
+	if got := quicInstance(second); got != first {
+		t.Errorf("second Initial: got instance %d, want %d", got, first)
+	}
+	if got := quicInstance(other); got == first {
+		t.Errorf("another connection: got instance %d too", got)
+	}
+}
+
 // Guards against inner packets that are no whole TCP or UDP packet.
 func TestDecodeErrors(t *testing.T) {
 	b, err := BuildUDP(caller4, vip4, []byte("data"))
--- a/internal/geneve/inner.go
+++ b/internal/geneve/inner.go
@@ -170,17 +170,30 @@
 	return true
 }
 
-// quicInstance returns a hash of the destination connection id of a QUIC
-// Initial, and 0 for other payloads. A caller chooses this id at random for
-// its first Initial and changes to the target's id later.
+// quicInstance returns a hash of the source connection id of a QUIC Initial,
+// and 0 for other payloads and for an empty id. The caller keeps this id for
+// the whole handshake, while the destination id of its second Initial is the
+// one that the target chose.
 func quicInstance(b []byte) uint32 {
-	const idAt = 6
-	if len(b) < idAt || b[0]&(quicLong|quicFixed) != quicLong|quicFixed || !startsFlow(b) {
+	const idsAt = 5
+	if len(b) <= idsAt || b[0]&(quicLong|quicFixed) != quicLong|quicFixed || !startsFlow(b) {
 		return 0
 	}
-	n := int(b[idAt-1])
-	if n == 0 || len(b) < idAt+n {
+	source, ok := connectionID(b[idsAt:])
+	if !ok {
 		return 0
 	}
-	return uint32(xxhash.Sum64(b[idAt : idAt+n]))
+	if _, ok := connectionID(source); !ok || source[0] == 0 {
+		return 0
+	}
+	return uint32(xxhash.Sum64(source[1 : 1+int(source[0])]))
+}
+
+// connectionID skips a connection id, which follows its length, and returns
+// the rest.
+func connectionID(b []byte) ([]byte, bool) {
+	if len(b) == 0 || len(b) < 1+int(b[0]) {
+		return nil, false
+	}
+	return b[1+int(b[0]):], true
 }
--- a/pkg/balancer/packet.go
+++ b/pkg/balancer/packet.go
@@ -102,7 +102,8 @@
 		Start bool
 		// Instance tells a new request from a retransmission where a caller uses
 		// a port again: the sequence number of a TCP SYN, a hash of the
-		// destination connection id of a QUIC Initial, and 0 where there is none.
+		// source connection id of a QUIC Initial, and 0 where there is none. It
+		// is the same for all start packets of one connection.
 		Instance uint32
 		End      End
 		// Target is the sender where Source is FromTarget.
