Keep the memory of a return when the flow is asked about; add core tests

Change: a returned entry stays. Tests of foreign answers, floods, held starts, retries, deadlines, late resets, overflow and the control codec; a fuzz target.

--- a/pkg/balancer/ask.go
+++ b/pkg/balancer/ask.go
@@ -48,7 +48,10 @@
 				return b.pass(p, to, p.Header, out)
 			}
 			b.removeFlow(i, Cancelled, now)
-		case e.state == stateReturned || p.Start && b.isNewRequest(e, p):
+		case e.state == stateReturned:
+			// The memory of the return stays: it also keeps a late duplicate of
+			// the offer from being accepted.
+		case p.Start && b.isNewRequest(e, p):
 			b.removeFlow(i, Completed, now)
 		default:
 			b.report(i, p)
@@ -104,6 +107,11 @@
 	if !ok {
 		return false
 	}
+	if i := b.find(p); i != noEntry && b.flows.entries[i].state == stateReturned {
+		e := &b.flows.entries[i]
+		e.until = tick(now) + b.listeners.all[e.listener].retention
+		return true
+	}
 	i := b.addFlow(p, l, 0, now)
 	if i == noEntry {
 		return false
--- /dev/null
+++ b/pkg/balancer/core_test.go
@@ -0,0 +1,248 @@
+package balancer
+
+import (
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+// lone returns a Balancer that is alone in its zone, and its view.
+func lone(t testing.TB, cfg Config, targets int) (*Balancer, *fleet.View, time.Time) {
+	t.Helper()
+	now := time.Unix(1_700_000_000, 0)
+	cfg.Self = "vm"
+	if cfg.NewLimiter == nil {
+		cfg.NewLimiter = newSlotLimiter
+	}
+	v := &fleet.View{Zone: "zone0", Epoch: 1, Sealed: true, Members: members([]fleet.VMID{"vm"}), Listeners: []fleet.Listener{lookups, orders, sheets}}
+	for i := range targets {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)}), 8080)
+		id := fleet.TargetID{Service: "Lutto/Counter", Address: addr, Incarnation: 1}
+		v.Targets = append(v.Targets, fleet.Target{ID: id, Zone: "zone0", Slots: 3, ConnectionLimit: 1 << 30, State: fleet.TargetReady})
+	}
+	if err := v.Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	b := New(cfg)
+	b.SetLease(now.Add(time.Hour))
+	b.SetView(v, now)
+	return b, v, now
+}
+
+func testFlow(l *fleet.Listener, n int) fleet.FlowKey {
+	addr := netip.AddrFrom4([4]byte{192, 168, byte(n >> 24), byte(n >> 16)})
+	return fleet.FlowKey{Caller: netip.AddrPortFrom(addr, uint16(n)), VIP: l.Address, Protocol: fleet.TCP}
+}
+
+func only(t *testing.T, actions []Action, op Op) Action {
+	t.Helper()
+	if len(actions) != 1 || actions[0].Op != op {
+		t.Fatalf("got actions %+v, want one with op %d", actions, op)
+	}
+	return actions[0]
+}
+
+// Guards against answers of another target, or without a flow, that reach a
+// caller.
+func TestForeignAndLateAnswers(t *testing.T) {
+	b, v, now := lone(t, Config{}, 3)
+	flow := testFlow(&orders, 1)
+	at := only(t, b.Handle(Packet{Flow: flow, Source: FromFabric, Start: true, Instance: 1}, now, nil), Forward).Target
+	for _, target := range v.Targets {
+		want := Drop
+		if target.ID == at {
+			want = Reply
+		}
+		only(t, b.Handle(Packet{Flow: flow, Source: FromTarget, Target: target.ID}, now, nil), want)
+	}
+	stray := Packet{Flow: testFlow(&orders, 2), Source: FromTarget, Target: at}
+	if a := only(t, b.Handle(stray, now, nil), Drop); a.Cause != CauseUnknownFlow {
+		t.Errorf("answer without a flow: got cause %s, want UnknownFlow", a.Cause)
+	}
+}
+
+// Guards against a SYN flood that pushes established flows out of the table.
+func TestFloodKeepsEstablishedFlows(t *testing.T) {
+	b, _, now := lone(t, Config{MaxFlows: 200}, 2)
+	flow := testFlow(&orders, 1)
+	at := only(t, b.Handle(Packet{Flow: flow, Source: FromFabric, Start: true, Instance: 1}, now, nil), Forward).Target
+	for n := 2; n < 5000; n++ {
+		b.Handle(Packet{Flow: testFlow(&lookups, n), Source: FromFabric, Start: true, Instance: 1}, now, nil)
+	}
+	if got := only(t, b.Handle(Packet{Flow: flow, Source: FromFabric}, now, nil), Forward).Target; got != at {
+		t.Errorf("established flow after a flood: got %s, want %s", got, at)
+	}
+	s := b.Stats()
+	if s.Flows > 200 || b.refusals > 100 {
+		t.Errorf("got %d flows with %d refusals, want at most 200 and 100", s.Flows, b.refusals)
+	}
+	if s.Dropped[CauseNoSlot] == 0 {
+		t.Errorf("got no drops once the refusals fill their half, want some: %v", s.Dropped)
+	}
+}
+
+// Guards against a non-idempotent request that is decided without a valid
+// lease or in an epoch that is not sealed, and against held packets without
+// bounds.
+func TestHeldStarts(t *testing.T) {
+	b, v, now := lone(t, Config{HeldPackets: 3}, 2)
+	b.SetLease(now)
+	for n := range 5 {
+		b.Handle(Packet{Flow: testFlow(&orders, n), Source: FromFabric, Start: true, Instance: 1}, now, nil)
+	}
+	if s := b.Stats(); s.Held != 3 || s.Dropped[CauseHeldFull] != 2 || s.Forwarded != 0 {
+		t.Errorf("without a lease: got %d held, %v dropped, %d forwarded, want 3, 2, 0", s.Held, s.Dropped, s.Forwarded)
+	}
+	only(t, b.Handle(Packet{Flow: testFlow(&lookups, 1), Source: FromFabric, Start: true, Instance: 1}, now, nil), Forward)
+	b.SetLease(now.Add(time.Minute))
+	if got := b.Tick(now.Add(10*time.Millisecond), nil); len(got) != 3 {
+		t.Errorf("with a lease again: got %d actions, want 3", len(got))
+	}
+	next := *v
+	next.Epoch, next.Sealed, next.Members = 2, false, members([]fleet.VMID{"other", "vm"})
+	if err := next.Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	b.SetView(&next, now)
+	for n := 10; n < 60; n++ {
+		b.Handle(Packet{Flow: testFlow(&orders, n), Source: FromFabric, Start: true, Instance: 1}, now, nil)
+	}
+	if b.Stats().Held == 0 {
+		t.Fatal("changed epoch that is not sealed: got no held start, want some")
+	}
+	b.Tick(now.Add(time.Second), nil)
+	if s := b.Stats(); s.Held != 0 || s.Dropped[CauseUnsealed] == 0 {
+		t.Errorf("after the deadline: got %d held, %v dropped, want 0 and some Unsealed", s.Held, s.Dropped)
+	}
+}
+
+// Guards against a shed request that is retried more than once, past its
+// deadline, or without a budget.
+func TestShedRetry(t *testing.T) {
+	for name, c := range map[string]struct {
+		budget RetryBudget
+		want   uint64
+	}{"budget": {alwaysRetry{}, 1}, "no budget": {nil, 0}} {
+		b, _, now := lone(t, Config{Retries: c.budget}, 1)
+		flow := testFlow(&lookups, 1)
+		start := Packet{Flow: flow, Source: FromFabric, Start: true, Instance: 1, Payload: []byte("syn")}
+		at := only(t, b.Handle(start, now, nil), Forward).Target
+		shed := Packet{Flow: flow, Source: FromTarget, Target: at, End: Shed, Payload: []byte("syn")}
+		out := b.Handle(shed, now, nil)
+		for i := range 10 {
+			out = b.Tick(now.Add(time.Duration(i)*10*time.Millisecond), out)
+		}
+		if b.Stats().Retried != c.want {
+			t.Errorf("%s: got %d retries, want %d", name, b.Stats().Retried, c.want)
+		}
+		if c.want == 0 {
+			if a := only(t, out, Refuse); a.Outcome != fleet.NotRun {
+				t.Errorf("%s: got outcome %s, want NotRun", name, a.Outcome)
+			}
+			continue
+		}
+		only(t, out, Forward)
+		only(t, b.Handle(shed, now.Add(100*time.Millisecond), nil), Refuse)
+	}
+}
+
+// Guards against a request that holds its slot after its deadline.
+func TestDeadlineCancels(t *testing.T) {
+	b, _, now := lone(t, Config{}, 1)
+	only(t, b.Handle(Packet{Flow: testFlow(&orders, 1), Source: FromFabric, Start: true, Instance: 1}, now, nil), Forward)
+	var out []Action
+	for i := range 100 {
+		out = b.Tick(now.Add(time.Duration(i)*10*time.Millisecond), out)
+	}
+	if a := only(t, out, Cancel); a.Outcome != fleet.DeadlinePassed {
+		t.Errorf("got outcome %s, want DeadlinePassed", a.Outcome)
+	}
+	if n := b.places.all[b.places.owned[0]].limiter.InFlight(); n != 0 {
+		t.Errorf("slots in use after the deadline: got %d, want 0", n)
+	}
+}
+
+// Guards against a stale view that resets a flow that is newer than the view.
+func TestUnknownFlowIsResetLate(t *testing.T) {
+	b, _, now := lone(t, Config{}, 1)
+	p := Packet{Flow: testFlow(&sheets, 1), Source: FromFabric}
+	p.Flow.VIP = lookups.Address
+	only(t, b.Handle(p, now, nil), Drop)
+	only(t, b.Handle(p, now.Add(900*time.Millisecond), nil), Drop)
+	if a := only(t, b.Handle(p, now.Add(1100*time.Millisecond), nil), Refuse); a.Outcome != fleet.Unknown {
+		t.Errorf("got outcome %s, want Unknown", a.Outcome)
+	}
+}
+
+// Guards against overflow to a zone that does not take the flow, and against
+// overflow of a non-idempotent flow.
+func TestOverflow(t *testing.T) {
+	b, v, now := lone(t, Config{}, 1)
+	next := *v
+	next.Zones = []fleet.Zone{{ID: "zone0", Weight: 1, State: fleet.In, Reachable: true, Services: []fleet.ServiceID{"Lutto/Counter"}, Members: v.Members},
+		{ID: "zone1", Weight: 1, State: fleet.In, Reachable: true, Members: members([]fleet.VMID{"far"}), Spare: map[fleet.ServiceID]int{"Lutto/Counter": 5}}}
+	if err := next.Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	b.SetView(&next, now)
+	for n := range 7 {
+		b.Handle(Packet{Flow: testFlow(&lookups, n), Source: FromFabric, Start: true, Instance: 1}, now, nil)
+	}
+	a := only(t, b.Handle(Packet{Flow: testFlow(&lookups, 7), Source: FromFabric, Start: true, Instance: 1}, now, nil), Pass)
+	if a.Peer != "far" || a.Header.Mode != Overflow {
+		t.Errorf("eighth lookup: got mode %d to %s, want Overflow to far", a.Header.Mode, a.Peer)
+	}
+	back := a.Header
+	back.Mode = Returned
+	returned := Packet{Flow: a.Flow, Source: FromPeer, Start: true, Instance: 1, Header: back}
+	if a := only(t, b.Handle(returned, now, nil), Refuse); a.Outcome != fleet.NotRun {
+		t.Errorf("returned overflow: got outcome %s, want NotRun", a.Outcome)
+	}
+	only(t, b.Handle(Packet{Flow: testFlow(&orders, 8), Source: FromFabric, Start: true, Instance: 1}, now, nil), Refuse)
+}
+
+// Guards against control messages that change on the way or exceed a datagram.
+func TestControlRoundTrip(t *testing.T) {
+	ex := &exceptionMessage{Epoch: 1, First: 2}
+	for n := 0; ex.add(exceptionRecord{fingerprint: uint32(n), place: fleet.TargetKey(n % 10), remove: n%2 == 0}); n++ {
+	}
+	if perRecord := float64(len(encodeControl(ex, 1))) / float64(len(ex.Records)); perRecord > 6 {
+		t.Errorf("got %.1f bytes per exception, want at most 6", perRecord)
+	}
+	ho := &handoverMessage{Epoch: 1, Place: 2, Part: 1, Total: 1, Lost: true, LostAge: 3}
+	for n := 0; ho.add(flowRecord{Flow: testFlow(&orders, n), State: stateAway, Place: 7, Listener: wireListener{orders.Address, fleet.TCP}, Instance: 9}); n++ {
+	}
+	hi := &historyMessage{Epoch: 3, Covers: 4, Steps: []historyStep{{Age: 5, Plus: []fleet.TargetID{{Service: "S", Address: orders.Address}}, Minus: []fleet.TargetKey{6}}}}
+	for _, m := range []controlMessage{ex, ho, hi, &ackMessage{}} {
+		b := encodeControl(m, 42)
+		got, seq, err := decodeControl(b)
+		if err != nil || seq != 42 || len(b) > MaxControlSize {
+			t.Fatalf("type %d: got sequence %d, %d bytes, %v, want 42, no error", m.kind(), seq, len(b), err)
+		}
+		if again := encodeControl(got, 42); string(again) != string(b) {
+			t.Errorf("type %d: decoding and encoding again changed the message", m.kind())
+		}
+	}
+}
+
+// Guards against a panic on garbage, and against a message that decodes but
+// does not encode to the same bytes.
+func FuzzHandleControl(f *testing.F) {
+	f.Add(encodeControl(&exceptionMessage{Places: []fleet.TargetKey{1}, Records: []wireException{{1, 0, true}}}, 1))
+	f.Add(encodeControl(&historyMessage{Epoch: 1}, 1))
+	ho := &handoverMessage{Part: 1}
+	ho.add(flowRecord{Flow: testFlow(&orders, 1), State: stateRunning, Listener: wireListener{orders.Address, fleet.TCP}})
+	f.Add(encodeControl(ho, 1))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		b, _, now := lone(t, Config{}, 1)
+		b.HandleControl("peer", body, now, nil)
+		b.Tick(now.Add(time.Second), nil)
+		var ce *ControlError
+		if _, _, err := decodeControl(body); err != nil && !errors.As(err, &ce) {
+			t.Errorf("got error %v, want ControlError", err)
+		}
+	})
+}
