--- a/cmd/bamboowalk/demo.go
+++ b/cmd/bamboowalk/demo.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"bamboowalk.org/bamboowalk/internal/demo"
-	"bamboowalk.org/bamboowalk/internal/entry"
+	"bamboowalk.org/bamboowalk/internal/settingsfile"
 )
 
 type (
@@ -36,7 +36,7 @@
 	defer stop()
 	opts := demo.Options{Traffic: c.Traffic, Seed: c.Seed, Out: os.Stdout}
 	if c.Verbose {
-		log, err := newLogger(entry.LogConsole, zapcore.DebugLevel)
+		log, err := settingsfile.Log{Format: settingsfile.LogConsole, Level: zapcore.DebugLevel}.New()
 		if err != nil {
 			return fmt.Errorf("making the logger: %w", err)
 		}
--- a/cmd/bamboowalk/entry.go
+++ b/cmd/bamboowalk/entry.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
+	"bamboowalk.org/bamboowalk/internal/cluster"
 	"bamboowalk.org/bamboowalk/internal/entry"
+	"bamboowalk.org/bamboowalk/pkg/timeline"
 )
 
 // entryCommand runs an entry VM.
@@ -28,7 +30,7 @@
 		fmt.Printf("%s: no faults\n", c.Config)
 		return nil
 	}
-	log, err := newLogger(settings.LogFormat, settings.LogLevel)
+	log, err := settings.Log.New()
 	if err != nil {
 		return fmt.Errorf("making the logger: %w", err)
 	}
@@ -36,17 +38,13 @@
 	defer func() { _ = log.Sync() }()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	d := &entry.Daemon{Settings: settings, Log: log.With(zap.String("VM", string(settings.ID)))}
-	return d.Run(ctx)
-}
-
-func newLogger(format entry.LogFormat, level zapcore.Level) (*zap.Logger, error) {
-	cfg := zap.NewProductionConfig()
-	if format == entry.LogConsole {
-		cfg = zap.NewDevelopmentConfig()
-		cfg.Development = false
+	log = log.With(zap.String("VM", string(settings.ID)))
+	ring := timeline.NewRing(settings.ID)
+	d := &entry.Daemon{Settings: settings, Log: log, Recorder: ring, Timeline: ring}
+	if len(settings.Replicas) > 0 {
+		if d.Membership, err = cluster.Open(settings, ring, log, time.Now()); err != nil {
+			return err
+		}
 	}
-	cfg.Level = zap.NewAtomicLevelAt(level)
-	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	return cfg.Build()
+	return d.Run(ctx)
 }
--- a/cmd/bamboowalk/main.go
+++ b/cmd/bamboowalk/main.go
@@ -2,10 +2,16 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"os"
 	"runtime/debug"
 
 	"github.com/alecthomas/kong"
+
+	"bamboowalk.org/bamboowalk/internal/control"
+	"bamboowalk.org/bamboowalk/internal/load"
+	"bamboowalk.org/bamboowalk/internal/operator"
 )
 
 // version is set by the release build.
@@ -13,9 +19,13 @@
 
 type (
 	commands struct {
-		Entry   entryCommand   `cmd:"" help:"Run an entry VM."`
-		Demo    demoCommand    `cmd:"" help:"Run entry VMs, callers and targets in one process and check the guarantees."`
-		Version versionCommand `cmd:"" help:"Print the version."`
+		Entry    entryCommand             `cmd:"" help:"Run an entry VM."`
+		Control  control.Command          `cmd:"" help:"Run a control VM."`
+		Config   operator.ConfigCommand   `cmd:"" help:"Read and write settings."`
+		Timeline operator.TimelineCommand `cmd:"" help:"Gather the events of all processes in causal order."`
+		Load     load.Command             `cmd:"" help:"Run experiments in virtual time and compare results."`
+		Demo     demoCommand              `cmd:"" help:"Run entry VMs, callers and targets in one process and check the guarantees."`
+		Version  versionCommand           `cmd:"" help:"Print the version."`
 	}
 
 	versionCommand struct{}
@@ -33,6 +43,11 @@
 
 func main() {
 	var cmds commands
-	ctx := kong.Parse(&cmds, kong.Name("bamboowalk"), kong.Description("A layer-4 load balancer."))
-	ctx.FatalIfErrorf(ctx.Run())
+	ctx := kong.Parse(&cmds, kong.Name("bamboowalk"), kong.Description("A layer-4 load balancer."),
+		kong.BindTo(context.Background(), (*context.Context)(nil)),
+		kong.BindSingletonProvider(cmds.Config.Client))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintf(os.Stderr, "bamboowalk: error: %v\n", err)
+		os.Exit(operator.ExitCode(err))
+	}
 }
--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,372 @@
+package cluster
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"bamboowalk.org/bamboowalk/internal/entry"
+	"bamboowalk.org/bamboowalk/internal/peer"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/lease"
+	"bamboowalk.org/bamboowalk/pkg/membership"
+	"bamboowalk.org/bamboowalk/pkg/placement"
+	"bamboowalk.org/bamboowalk/pkg/settings"
+	"bamboowalk.org/bamboowalk/pkg/spread"
+	"bamboowalk.org/bamboowalk/pkg/timeline"
+)
+
+const (
+	// tickInterval bounds how late a timer of a protocol fires.
+	tickInterval = 20 * time.Millisecond
+	// queueLength bounds the received messages that wait for the goroutine.
+	queueLength = 1024
+	// leaseStep is the least extension of a lease that the traffic side is
+	// told of, so that not every grant wakes its goroutines.
+	leaseStep = 50 * time.Millisecond
+	// otherZoneVMs is the number of VMs of each other zone that the
+	// distribution of settings may ask.
+	otherZoneVMs = 2
+	maxPulls     = 4
+)
+
+type (
+	// Replica is where a control VM takes hints and pulls.
+	Replica struct {
+		ID      fleet.VMID
+		Control netip.AddrPort
+	}
+
+	// Cluster is the Membership of a VM that takes part in a fleet. Exported
+	// fields are set before Run.
+	Cluster struct {
+		Self        fleet.VM
+		Zone        fleet.ZoneID
+		Incarnation fleet.Incarnation
+		// Seeds are VMs of the own zone, Remote those of other zones.
+		Seeds    []fleet.VM
+		Remote   []membership.RemoteZone
+		Replicas []Replica
+		Socket   *peer.Socket
+		// Pulls serves the settings to peers; it is at the control address.
+		Pulls    net.Listener
+		Recorder timeline.Recorder
+		Log      *zap.Logger
+
+		members *membership.Machine
+		leases  *lease.Machine
+		store   *settings.Store
+		spread  *spread.Node
+		apply   func(entry.Update)
+
+		calls   chan func(now time.Time)
+		stopped chan struct{}
+		pulls   chan struct{} // free slots for pulls
+		targets map[fleet.TargetKey]fleet.Target
+		last    published
+		status  atomic.Pointer[Status]
+		// reported and leaving come from goroutines that must not wait for this
+		// one, which in turn waits for them to apply views.
+		reported atomic.Pointer[[]fleet.Target]
+		leaving  atomic.Bool
+	}
+
+	// published is what the traffic side knows.
+	published struct {
+		epoch      fleet.Epoch
+		sealed     bool
+		revision   fleet.Revision
+		generation uint64
+		zones      []fleet.Zone
+		view       *fleet.View
+		until      time.Time
+		council    uint32
+	}
+
+	// Status is what a VM knows of its zone and the settings.
+	Status struct {
+		State      string
+		Epoch      fleet.Epoch
+		Sealed     bool
+		Voting     bool
+		Proposer   bool
+		Revision   fleet.Revision
+		Council    []fleet.VMID
+		Members    []membership.Member
+		Zones      []fleet.Zone
+		Membership membership.Stats
+		Lease      lease.Stats
+		Spread     spread.Stats
+	}
+)
+
+var _ entry.Membership = (*Cluster)(nil)
+
+// New prepares the channels of a cluster whose fields the caller then sets.
+func New() *Cluster {
+	return &Cluster{
+		store:   settings.NewStore(),
+		calls:   make(chan func(time.Time), queueLength),
+		stopped: make(chan struct{}),
+		pulls:   make(chan struct{}, maxPulls),
+		targets: make(map[fleet.TargetKey]fleet.Target),
+	}
+}
+
+// Run takes part in the protocols until ctx ends; it returns a
+// peer.SocketError where the control port fails.
+func (c *Cluster) Run(ctx context.Context, apply func(entry.Update)) error {
+	c.apply = apply
+	c.build(time.Now())
+	group, ctx := errgroup.WithContext(ctx)
+	server := &peer.Server{Self: c.Self.ID, Listener: c.Pulls, Answer: c.answer}
+	group.Go(func() error { return server.Run(ctx) })
+	group.Go(func() error { return c.Socket.Receive(ctx, func(r peer.Received) { c.receive(ctx, r) }) })
+	group.Go(func() error { c.run(ctx); return nil })
+	return group.Wait()
+}
+
+func (c *Cluster) build(now time.Time) {
+	random := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+	c.members = membership.New(membership.Config{
+		Self: c.Self, Zone: c.Zone, Incarnation: c.Incarnation,
+		Seeds: c.Seeds, Remote: c.Remote, Rand: random(), Recorder: c.Recorder,
+	}, now)
+	c.leases = lease.New(lease.Config{
+		Self: c.Self, Zone: c.Zone, Incarnation: c.Incarnation, Rand: random(), Recorder: c.Recorder,
+	}, now)
+	c.spread = &spread.Node{Self: c.Self.ID, Copy: c.store, Rand: random(), Recorder: c.Recorder}
+}
+
+// run owns the state machines.
+func (c *Cluster) run(ctx context.Context) {
+	defer close(c.stopped)
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-c.calls:
+			f(time.Now())
+		case now := <-tick.C:
+			c.tick(ctx, now)
+		}
+		c.publish(time.Now())
+	}
+}
+
+func (c *Cluster) tick(ctx context.Context, now time.Time) {
+	if targets := c.reported.Swap(nil); targets != nil {
+		c.report(*targets)
+	}
+	if c.leaving.Load() {
+		c.members.Leave(now)
+	}
+	c.members.SetFit(c.leases.Connected(now))
+	c.members.SetEpoch(c.leases.View().Epoch)
+	c.leases.SetCandidates(c.members.Candidates(now))
+	c.setPeers(now)
+	c.sendMembership(c.members.Tick(now), now)
+	c.sendLease(c.leases.Tick(now), now)
+	c.sendSpread(ctx, c.spread.Tick(now), now)
+}
+
+// setPeers tells the distribution of settings which VMs live.
+func (c *Cluster) setPeers(now time.Time) {
+	if g := c.members.Generation(); g == c.last.generation {
+		return
+	}
+	c.last.generation = c.members.Generation()
+	var peers, replicas, others []fleet.VMID
+	for _, m := range c.members.Members(now) {
+		if m.State == "Alive" || m.State == "Suspect" {
+			peers = append(peers, m.VM.ID)
+		}
+	}
+	for _, r := range c.Replicas {
+		replicas = append(replicas, r.ID)
+	}
+	for _, z := range c.members.Zones(now) {
+		for _, vm := range z.Members[:min(len(z.Members), otherZoneVMs)] {
+			others = append(others, vm.ID)
+		}
+	}
+	c.spread.SetPeers(peers, replicas, others)
+}
+
+// receive decodes a frame and gives it to the goroutine; a frame that does
+// not decode, or that finds the queue full, is lost as on the network.
+func (c *Cluster) receive(ctx context.Context, r peer.Received) {
+	switch r.Channel {
+	case peer.Membership:
+		if m, err := membership.Decode(r.Body); err == nil {
+			c.post(func(now time.Time) { c.sendMembership(c.members.Handle(r.From, m, now), now) })
+		}
+	case peer.Lease:
+		if m, err := lease.Decode(r.Body); err == nil {
+			c.post(func(now time.Time) { c.sendLease(c.leases.Handle(r.From, m, now), now) })
+		}
+	case peer.Spread:
+		if m, err := spread.Decode(r.Body); err == nil && m.Datagram() {
+			c.post(func(now time.Time) { c.sendSpread(ctx, c.spread.Handle(r.From, m, now), now) })
+		}
+	}
+}
+
+// post gives f to the goroutine and drops it where the queue is full.
+func (c *Cluster) post(f func(now time.Time)) {
+	select {
+	case c.calls <- f:
+	default:
+	}
+}
+
+// call gives f to the goroutine and waits for a place in the queue.
+func (c *Cluster) call(f func(now time.Time)) {
+	select {
+	case c.calls <- f:
+	case <-c.stopped:
+	}
+}
+
+func (c *Cluster) sendMembership(out []membership.Envelope, now time.Time) {
+	for _, e := range out {
+		if body, err := e.Message.Encode(); err == nil {
+			c.send(e.To, peer.Membership, body, now)
+		}
+	}
+}
+
+func (c *Cluster) sendLease(out []lease.Envelope, now time.Time) {
+	for _, e := range out {
+		if body, err := e.Message.Encode(); err == nil {
+			c.send(e.To, peer.Lease, body, now)
+		}
+	}
+}
+
+// sendSpread sends hints as datagrams and starts pulls over connections.
+func (c *Cluster) sendSpread(ctx context.Context, out []spread.Envelope, now time.Time) {
+	for _, e := range out {
+		if e.Message.Pull != nil {
+			c.startPull(ctx, e)
+			continue
+		}
+		if !e.Message.Datagram() {
+			continue
+		}
+		if body, err := e.Message.Encode(); err == nil {
+			c.send(e.To, peer.Spread, body, now)
+		}
+	}
+}
+
+// startPull asks a peer in a goroutine of its own. Where too many are under
+// way, or it fails, the node asks another peer after its timeout.
+func (c *Cluster) startPull(ctx context.Context, e spread.Envelope) {
+	address, ok := c.address(e.To)
+	if !ok {
+		return
+	}
+	select {
+	case c.pulls <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-c.pulls }()
+		_, answer, err := peer.Pull(ctx, c.Self.ID, address, e.Message)
+		if err != nil {
+			return
+		}
+		c.call(func(now time.Time) { c.sendSpread(ctx, c.spread.Handle(e.To, answer, now), now) })
+	}()
+}
+
+// answer serves a pull of a peer.
+func (c *Cluster) answer(from fleet.VMID, m spread.Message) (spread.Message, error) {
+	if m.Pull == nil {
+		return spread.Message{}, &spread.MessageError{Reason: "is no pull"}
+	}
+	reply := make(chan spread.Message, 1)
+	c.call(func(now time.Time) {
+		for _, e := range c.spread.Handle(from, m, now) {
+			reply <- e.Message
+		}
+	})
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-c.stopped:
+		return spread.Message{}, entry.StoppedError{}
+	}
+}
+
+func (c *Cluster) send(to fleet.VMID, channel peer.Channel, body []byte, now time.Time) {
+	if address, ok := c.address(to); ok {
+		c.Socket.Send(address, channel, body, now)
+	}
+}
+
+func (c *Cluster) address(id fleet.VMID) (netip.AddrPort, bool) {
+	for _, r := range c.Replicas {
+		if r.ID == id {
+			return r.Control, true
+		}
+	}
+	vm, ok := c.members.Lookup(id)
+	return vm.Control, ok
+}
+
+// Report states the targets whose leases this VM keeps. One that was stated
+// before and is missing now has left or lost its lease, unless it has another
+// owner.
+func (c *Cluster) Report(targets []fleet.Target) {
+	targets = slices.Clone(targets)
+	c.reported.Store(&targets)
+}
+
+// Leave asks for a view without this VM.
+func (c *Cluster) Leave() { c.leaving.Store(true) }
+
+func (c *Cluster) report(targets []fleet.Target) {
+	owners := c.owners()
+	present := make(map[fleet.TargetKey]fleet.Target, len(targets))
+	for _, t := range targets {
+		present[t.ID.Key()] = t
+		c.setTarget(t)
+	}
+	for key, t := range c.targets {
+		if _, ok := present[key]; ok {
+			continue
+		}
+		if owners != nil && owners.View().Target(key) != nil && owners.Owner(key) != c.Self.ID {
+			c.leases.ForgetTarget(t.ID)
+			continue
+		}
+		t.State = fleet.TargetGone
+		c.setTarget(t)
+	}
+	c.targets = present
+}
+
+func (c *Cluster) setTarget(t fleet.Target) {
+	if err := c.leases.SetTarget(t); err != nil {
+		c.Log.Warn("target can't be reported", zap.Stringer("target", t.ID), zap.Error(err))
+	}
+}
+
+func (c *Cluster) owners() *placement.Map {
+	if c.last.view == nil {
+		return nil
+	}
+	return placement.New(c.last.view)
+}
--- /dev/null
+++ b/internal/cluster/cluster_test.go
@@ -0,0 +1,174 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"bamboowalk.org/bamboowalk/internal/entry"
+	"bamboowalk.org/bamboowalk/internal/peer"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/membership"
+	"bamboowalk.org/bamboowalk/pkg/settings"
+	"bamboowalk.org/bamboowalk/pkg/timeline"
+)
+
+const waitLimit = 20 * time.Second
+
+// node is one running cluster and what its traffic side was told.
+type node struct {
+	*Cluster
+	stop func()
+
+	mu   sync.Mutex
+	last entry.Update
+	view *fleet.View
+}
+
+func (n *node) apply(u entry.Update) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.last = u
+	if u.View != nil {
+		n.view = u.View
+	}
+}
+
+// state returns the members of the view, whether it is sealed, and whether
+// this VM holds a lease.
+func (n *node) state() (members string, sealed, leased bool, targets int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.view == nil {
+		return "", false, false, 0
+	}
+	var ids []string
+	for _, m := range n.view.Members {
+		ids = append(ids, string(m.ID))
+	}
+	return strings.Join(ids, " "), n.view.Sealed, n.last.LeaseUntil.After(time.Now()), len(n.view.Targets)
+}
+
+func (n *node) await(t *testing.T, want string, targets int) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if members, sealed, leased, n := n.state(); members == want && sealed && leased && n == targets {
+			return
+		}
+	}
+	members, sealed, leased, got := n.state()
+	t.Fatalf("%s: got members %q, sealed %v, lease %v, %d targets, want %q, sealed, with a lease and %d targets",
+		n.Self.ID, members, sealed, leased, got, want, targets)
+}
+
+// zoneOf makes n VMs of two zones on loopback that have not started.
+func zoneOf(t *testing.T, n int) []*node {
+	var nodes []*node
+	var seeds []fleet.VM
+	for i := range n {
+		c := New()
+		c.Self = fleet.VM{ID: fleet.VMID(fmt.Sprintf("monza-%d", i)), Data: netip.MustParseAddrPort("127.0.0.1:9"), HTTP: netip.MustParseAddrPort("127.0.0.1:9")}
+		c.Zone, c.Incarnation = "Monza", 1
+		c.Recorder, c.Log = timeline.Discard{}, zap.NewNop()
+		openPorts(t, c)
+		seeds = append(seeds, c.Self)
+		nodes = append(nodes, &node{Cluster: c})
+	}
+	for _, n := range nodes {
+		n.Seeds = seeds
+		n.Remote = []membership.RemoteZone{{ID: "Lecco", Seeds: seeds[:1]}}
+	}
+	return nodes
+}
+
+func openPorts(t *testing.T, c *Cluster) {
+	for range 20 {
+		conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Self.Control = conn.LocalAddr().(*net.UDPAddr).AddrPort()
+		if c.Pulls, err = net.Listen("tcp", c.Self.Control.String()); err == nil {
+			c.Socket = &peer.Socket{Self: c.Self.ID, Conn: conn, Clock: new(timeline.Clock)}
+			return
+		}
+		conn.Close()
+	}
+	t.Fatal("no port is free for both UDP and TCP")
+}
+
+func (n *node) start(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx, n.apply) }()
+	n.stop = sync.OnceFunc(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("%s: got %v, want no error", n.Self.ID, err)
+		}
+	})
+	t.Cleanup(n.stop)
+}
+
+// settle gives the settings of the zone to one VM; the others get them by the
+// distribution.
+func settle(t *testing.T, nodes []*node) {
+	m := settings.NewMachine()
+	var vms, council []string
+	for _, n := range nodes {
+		vms = append(vms, fmt.Sprintf("[[EntryVMs]]\nID = %q\nControl = %q\nData = %q\n", n.Self.ID, n.Self.Control, n.Self.Data))
+		council = append(council, fmt.Sprintf("%q", n.Self.ID))
+	}
+	text := fmt.Sprintf("Weight = 1.0\nState = \"In\"\nCouncil = [%s]\nCouncilRevision = 1\n%s", strings.Join(council, ", "), strings.Join(vms, ""))
+	now := time.Now()
+	w := settings.Write{Operation: settings.NewOperationID(now, 1), Path: "/Zones/Monza", Text: text, Root: true}
+	r, err := settings.DecodeResult(m.Apply(w.Encode(), now))
+	if err != nil || r.Err() != nil {
+		t.Fatalf("zone: got %v, %v, want no error", err, r.Err())
+	}
+	if _, err := nodes[0].store.Apply(m.Delta(0)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against VMs on real sockets that form no view, keep a crashed VM in
+// it, lose a target whose owner has crashed, or cannot leave.
+func TestClusterFormsAndRecovers(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	nodes := zoneOf(t, 4)
+	settle(t, nodes)
+	for _, n := range nodes {
+		n.start(t)
+	}
+	all := "monza-0 monza-1 monza-2 monza-3"
+	for _, n := range nodes {
+		n.await(t, all, 0)
+	}
+	target := fleet.Target{
+		ID:   fleet.TargetID{Service: "Lutto/Counter", Address: netip.MustParseAddrPort("127.0.0.1:10"), Incarnation: 1},
+		Zone: "Monza", Slots: 3, ConnectionLimit: 4500, State: fleet.TargetReady,
+	}
+	nodes[3].Report([]fleet.Target{target})
+	for _, n := range nodes {
+		n.await(t, all, 1)
+	}
+	nodes[3].stop()
+	for _, n := range nodes[:3] {
+		n.await(t, "monza-0 monza-1 monza-2", 1)
+	}
+	nodes[2].Leave()
+	for _, n := range nodes[:2] {
+		n.await(t, "monza-0 monza-1", 1)
+	}
+	for _, n := range nodes {
+		n.stop()
+	}
+}
--- /dev/null
+++ b/internal/cluster/view.go
@@ -0,0 +1,154 @@
+package cluster
+
+import (
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bamboowalk.org/bamboowalk/internal/announce"
+	"bamboowalk.org/bamboowalk/internal/entry"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/lease"
+	"bamboowalk.org/bamboowalk/pkg/settings"
+	"bamboowalk.org/bamboowalk/pkg/timeline"
+)
+
+// publish tells the traffic side what has changed.
+func (c *Cluster) publish(now time.Time) {
+	config := c.store.Config()
+	c.setCouncil(config, now)
+	v := c.leases.View()
+	zones := c.zones(config, now)
+	u := entry.Update{LeaseUntil: c.leases.LeaseUntil(now)}
+	if v.Epoch != 0 && c.changed(v, config, zones) {
+		u.View = c.buildView(zones, config, now)
+	}
+	if u.View != nil && config.Revision != c.last.revision {
+		u.Services = credentials(config)
+		c.Log.Info("settings are in force", zap.Uint64("revision", uint64(config.Revision)))
+	}
+	if u.View == nil && !c.leaseChanged(u.LeaseUntil) {
+		return
+	}
+	if u.View != nil {
+		c.remember(u.View, v, config, zones)
+	}
+	c.last.until = u.LeaseUntil
+	c.setStatus(now)
+	c.apply(u)
+}
+
+func (c *Cluster) changed(v *lease.View, config *settings.Config, zones []fleet.Zone) bool {
+	return v.Epoch != c.last.epoch || c.leases.Sealed() != c.last.sealed ||
+		config.Revision != c.last.revision || !reflect.DeepEqual(zones, c.last.zones)
+}
+
+func (c *Cluster) leaseChanged(until time.Time) bool {
+	if until.IsZero() || c.last.until.IsZero() {
+		return until.IsZero() != c.last.until.IsZero()
+	}
+	return until.Sub(c.last.until) >= leaseStep
+}
+
+func (c *Cluster) remember(built *fleet.View, v *lease.View, config *settings.Config, zones []fleet.Zone) {
+	c.last.epoch, c.last.sealed = v.Epoch, c.leases.Sealed()
+	c.last.revision, c.last.zones, c.last.view = config.Revision, zones, built
+	c.forgetTargets()
+}
+
+// forgetTargets ends the reports about targets that have another owner now.
+func (c *Cluster) forgetTargets() {
+	owners := c.owners()
+	for key, t := range c.targets {
+		if c.last.view.Target(key) != nil && owners.Owner(key) != c.Self.ID {
+			c.leases.ForgetTarget(t.ID)
+			delete(c.targets, key)
+		}
+	}
+}
+
+func (c *Cluster) buildView(zones []fleet.Zone, config *settings.Config, now time.Time) *fleet.View {
+	built, err := c.leases.BuildView(zones, config.Listeners, config.Revision)
+	if err != nil {
+		c.Log.Error("view can't be built", zap.Error(err))
+		c.Recorder.Record(timeline.Event{Kind: timeline.KindFault, Name: "ViewRejected", Detail: err.Error()}, now)
+		return nil
+	}
+	return built
+}
+
+// setCouncil follows the council in the settings.
+func (c *Cluster) setCouncil(config *settings.Config, now time.Time) {
+	z := config.Zone(c.Zone)
+	if z == nil || z.CouncilRevision <= c.last.council {
+		return
+	}
+	c.last.council = z.CouncilRevision
+	c.leases.SetCouncil(lease.Council{Revision: z.CouncilRevision, Members: z.Council}, now)
+}
+
+// zones joins what the settings say about zones with what membership sees.
+func (c *Cluster) zones(config *settings.Config, now time.Time) []fleet.Zone {
+	seen := c.members.Zones(now)
+	out := make([]fleet.Zone, 0, len(config.Zones))
+	for i := range config.Zones {
+		z := &config.Zones[i]
+		zone := fleet.Zone{ID: z.ID, Weight: z.Weight, State: z.State, Services: z.Services}
+		if z.ID == c.Zone {
+			zone.Reachable = true
+			zone.Members = c.ownMembers()
+		} else if j := slices.IndexFunc(seen, func(s fleet.Zone) bool { return s.ID == z.ID }); j >= 0 {
+			zone.Reachable = seen[j].Reachable
+			zone.Members = sortedVMs(seen[j].Members)
+			zone.Spare = seen[j].Spare
+		}
+		out = append(out, zone)
+	}
+	return out
+}
+
+func (c *Cluster) ownMembers() []fleet.VM {
+	var vms []fleet.VM
+	for _, m := range c.leases.View().Members {
+		vms = append(vms, m.VM)
+	}
+	return sortedVMs(vms)
+}
+
+func sortedVMs(vms []fleet.VM) []fleet.VM {
+	vms = slices.Clone(vms)
+	slices.SortFunc(vms, func(a, b fleet.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return vms
+}
+
+// credentials returns the targets' credentials by service. The settings have
+// checked their form.
+func credentials(config *settings.Config) map[fleet.ServiceID]announce.Credential {
+	out := make(map[fleet.ServiceID]announce.Credential, len(config.Services))
+	for id, s := range config.Services {
+		var credential announce.Credential
+		if credential.UnmarshalText([]byte(s.Credential)) == nil {
+			out[id] = credential
+		}
+	}
+	return out
+}
+
+// Status returns what this VM last knew; it is nil before the first view.
+func (c *Cluster) Status() *Status { return c.status.Load() }
+
+func (c *Cluster) setStatus(now time.Time) {
+	s := &Status{
+		State: c.members.State(), Epoch: c.leases.View().Epoch, Sealed: c.leases.Sealed(),
+		Voting: c.leases.Voting(), Proposer: c.leases.Proposer(), Revision: c.store.Revision(),
+		Members: c.members.Members(now), Zones: c.last.zones,
+		Membership: c.members.Stats(), Lease: c.leases.Stats(), Spread: c.spread.Stats(),
+	}
+	if z := c.store.Config().Zone(c.Zone); z != nil {
+		s.Council = z.Council
+	}
+	c.status.Store(s)
+}
--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -5,45 +5,44 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"time"
-
-	"go.uber.org/zap/zapcore"
 
 	"bamboowalk.org/bamboowalk/internal/announce"
+	"bamboowalk.org/bamboowalk/internal/settingsfile"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
-// checker converts the form of a settings file and collects its faults.
-type checker struct{ faults []Fault }
-
-func (c *checker) fault(key, format string, args ...any) {
-	c.faults = append(c.faults, Fault{Key: key, Reason: fmt.Sprintf(format, args...)})
-}
+// checker converts the form of a settings file.
+type checker struct{ *settingsfile.Checker }
 
 func (c *checker) settings(f *file) *Settings {
 	s := &Settings{
-		ID:           fleet.VMID(c.name("ID", f.ID)),
-		Zone:         fleet.ZoneID(c.name("Zone", f.Zone)),
-		Control:      c.address("Control", f.Control),
-		Data:         c.address("Data", f.Data),
-		HTTP:         c.address("HTTP", f.HTTP),
-		Shards:       c.count("Shards", f.Shards, 1, maxShards),
-		LogFormat:    c.logFormat(f.LogFormat),
-		DrainTime:    c.duration("DrainTime", f.DrainTime, defaultDrainTime),
-		QuietTime:    c.duration("QuietTime", f.QuietTime, defaultQuietTime),
-		LeaseTime:    c.duration("LeaseTime", f.LeaseTime, defaultLeaseTime),
-		TargetLimit:  c.count("TargetLimit", f.TargetLimit, defaultTargetLimit, 1<<20),
+		ID:           fleet.VMID(c.Name("ID", f.ID)),
+		Zone:         fleet.ZoneID(c.Name("Zone", f.Zone)),
+		Control:      c.Address("Control", f.Control),
+		Data:         c.Address("Data", f.Data),
+		HTTP:         c.Address("HTTP", f.HTTP),
+		Shards:       c.Count("Shards", f.Shards, 1, maxShards),
+		Log:          c.Log(f.LogFormat, f.LogLevel),
+		DrainTime:    c.Duration("DrainTime", f.DrainTime, defaultDrainTime),
+		QuietTime:    c.Duration("QuietTime", f.QuietTime, defaultQuietTime),
+		LeaseTime:    c.Duration("LeaseTime", f.LeaseTime, defaultLeaseTime),
+		TargetLimit:  c.Count("TargetLimit", f.TargetLimit, defaultTargetLimit, 1<<20),
 		AnnounceRate: defaultAnnounceRate,
 		Services:     make(map[fleet.ServiceID]announce.Credential, len(f.Services)),
 	}
-	c.text("LogLevel", f.LogLevel, &s.LogLevel)
 	if f.AnnounceRate != nil {
-		s.AnnounceRate = c.positive("AnnounceRate", *f.AnnounceRate)
+		s.AnnounceRate = c.Positive("AnnounceRate", *f.AnnounceRate)
 	}
 	c.fabric(s, f)
 	for i := range f.Zones {
 		s.Zones = append(s.Zones, c.zone(fmt.Sprintf("Zones[%d]", i), &f.Zones[i]))
 	}
+	for i := range f.Replicas {
+		s.Replicas = append(s.Replicas, c.replica(fmt.Sprintf("Replicas[%d]", i), &f.Replicas[i]))
+	}
+	if len(s.Replicas) > 0 && len(f.Services) > 0 {
+		c.Fault("Services", "come from the control VMs where Replicas are named")
+	}
 	for i := range f.Services {
 		c.service(fmt.Sprintf("Services[%d]", i), &f.Services[i], s)
 	}
@@ -53,10 +52,10 @@
 
 func (c *checker) fabric(s *Settings, f *file) {
 	if len(f.Fabric) == 0 {
-		c.fault("Fabric", "must name at least one address")
+		c.Fault("Fabric", "must name at least one address")
 	}
 	for i, text := range f.Fabric {
-		s.Fabric = append(s.Fabric, c.address(fmt.Sprintf("Fabric[%d]", i), text))
+		s.Fabric = append(s.Fabric, c.Address(fmt.Sprintf("Fabric[%d]", i), text))
 	}
 	for i, text := range f.FabricSources {
 		var p netip.Prefix
@@ -65,21 +64,28 @@
 	}
 }
 
+func (c *checker) replica(key string, f *fileReplica) Replica {
+	return Replica{
+		ID:      fleet.VMID(c.Name(key+".ID", f.ID)),
+		Control: c.Address(key+".Control", f.Control),
+	}
+}
+
 func (c *checker) zone(key string, f *fileZone) fleet.Zone {
 	z := fleet.Zone{
-		ID:        fleet.ZoneID(c.name(key+".ID", f.ID)),
+		ID:        fleet.ZoneID(c.Name(key+".ID", f.ID)),
 		Weight:    1,
 		State:     fleet.In,
 		Reachable: true,
 	}
 	if f.Weight != nil {
-		z.Weight = c.positive(key+".Weight", *f.Weight)
+		z.Weight = c.Positive(key+".Weight", *f.Weight)
 	}
 	if f.State != "" {
 		z.State = fleet.ZoneState(f.State)
 	}
 	if z.State != fleet.In && z.State != fleet.Out {
-		c.fault(key+".State", "must be In or Out")
+		c.Fault(key+".State", "must be In or Out")
 	}
 	for _, id := range f.Services {
 		z.Services = append(z.Services, fleet.ServiceID(id))
@@ -92,17 +98,17 @@
 
 func (c *checker) member(key string, f *fileMember) fleet.VM {
 	return fleet.VM{
-		ID:      fleet.VMID(c.name(key+".ID", f.ID)),
-		Control: c.address(key+".Control", f.Control),
-		Data:    c.address(key+".Data", f.Data),
-		HTTP:    c.address(key+".HTTP", f.HTTP),
+		ID:      fleet.VMID(c.Name(key+".ID", f.ID)),
+		Control: c.Address(key+".Control", f.Control),
+		Data:    c.Address(key+".Data", f.Data),
+		HTTP:    c.Address(key+".HTTP", f.HTTP),
 	}
 }
 
 func (c *checker) service(key string, f *fileService, s *Settings) {
-	id := fleet.ServiceID(c.name(key+".ID", f.ID))
+	id := fleet.ServiceID(c.Name(key+".ID", f.ID))
 	if _, twice := s.Services[id]; twice {
-		c.fault(key+".ID", "service %q stands twice", id)
+		c.Fault(key+".ID", "service %q stands twice", id)
 	}
 	var credential announce.Credential
 	c.text(key+".CredentialSHA256", f.CredentialSHA256, &credential)
@@ -117,7 +123,7 @@
 
 func (c *checker) listener(key string, id fleet.ServiceID, f *fileListener) fleet.Listener {
 	l := fleet.Listener{
-		Address: c.address(key+".Address", f.Address),
+		Address: c.Address(key+".Address", f.Address),
 		Service: id,
 		Answers: fleet.AnswerPath(f.Answers),
 		Kind: fleet.Kind{
@@ -125,17 +131,17 @@
 			Urgency:     fleet.Urgency(f.Kind.Urgency),
 			Weight:      f.Kind.Weight,
 			Share:       f.Kind.Share,
-			Deadline:    c.duration(key+".Kind.Deadline", f.Kind.Deadline, 0),
-			IdleTimeout: c.duration(key+".Kind.IdleTimeout", f.Kind.IdleTimeout, 0),
+			Deadline:    c.Duration(key+".Kind.Deadline", f.Kind.Deadline, 0),
+			IdleTimeout: c.Duration(key+".Kind.IdleTimeout", f.Kind.IdleTimeout, 0),
 			Idempotent:  f.Kind.Idempotent,
 		},
 	}
 	c.text(key+".Protocol", f.Protocol, &l.Protocol)
 	if f.Kind.Urgency < 0 || f.Kind.Urgency > 255 {
-		c.fault(key+".Kind.Urgency", "must be between 0 and 255")
+		c.Fault(key+".Kind.Urgency", "must be between 0 and 255")
 	}
 	if l.Answers != fleet.Direct && l.Answers != fleet.Through {
-		c.fault(key+".Answers", "must be Direct or Through")
+		c.Fault(key+".Answers", "must be Direct or Through")
 	}
 	c.valid(key+".Kind", l.Kind.Validate())
 	return l
@@ -143,17 +149,17 @@
 
 func (c *checker) target(key string, id fleet.ServiceID, zone fleet.ZoneID, f *fileTarget) fleet.Target {
 	t := fleet.Target{
-		ID:              fleet.TargetID{Service: id, Address: c.address(key+".Address", f.Address), Incarnation: 1},
+		ID:              fleet.TargetID{Service: id, Address: c.Address(key+".Address", f.Address), Incarnation: 1},
 		Zone:            zone,
 		Slots:           f.Slots,
 		ConnectionLimit: f.ConnectionLimit,
 		State:           fleet.TargetReady,
 	}
 	if f.Slots < 1 {
-		c.fault(key+".Slots", "must be at least 1")
+		c.Fault(key+".Slots", "must be at least 1")
 	}
 	if f.ConnectionLimit < 1 {
-		c.fault(key+".ConnectionLimit", "must be at least 1")
+		c.Fault(key+".ConnectionLimit", "must be at least 1")
 	}
 	return t
 }
@@ -165,7 +171,7 @@
 	for i, z := range s.Zones {
 		for j, m := range z.Members {
 			if vms[m.ID] {
-				c.fault(fmt.Sprintf("Zones[%d].Members[%d].ID", i, j), "VM %q stands twice", m.ID)
+				c.Fault(fmt.Sprintf("Zones[%d].Members[%d].ID", i, j), "VM %q stands twice", m.ID)
 			}
 			vms[m.ID] = true
 			if m.ID == s.ID {
@@ -175,22 +181,22 @@
 		}
 		for j, id := range z.Services {
 			if _, ok := s.Services[id]; !ok {
-				c.fault(fmt.Sprintf("Zones[%d].Services[%d]", i, j), "unknown service %q", id)
+				c.Fault(fmt.Sprintf("Zones[%d].Services[%d]", i, j), "unknown service %q", id)
 			}
 		}
 	}
 	if !self {
-		c.fault("ID", "no member of Zones has the id %q", s.ID)
+		c.Fault("ID", "no member of Zones has the id %q", s.ID)
 	}
 	c.listeners(s)
 }
 
 func (c *checker) self(key string, s *Settings, zone fleet.ZoneID, m fleet.VM) {
 	if zone != s.Zone {
-		c.fault(key+".ID", "is this VM, which is in zone %q", s.Zone)
+		c.Fault(key+".ID", "is this VM, which is in zone %q", s.Zone)
 	}
 	if m.Data != s.Data || m.HTTP != s.HTTP || m.Control != s.Control {
-		c.fault(key, "has other addresses than this VM's own")
+		c.Fault(key, "has other addresses than this VM's own")
 	}
 }
 
@@ -199,71 +205,14 @@
 	for _, l := range s.Listeners {
 		key := fleet.ListenerKey{Address: l.Address, Protocol: l.Protocol}
 		if seen[key] && l.Address.IsValid() {
-			c.fault("Services", "two listeners have %s %s", l.Protocol, l.Address)
+			c.Fault("Services", "two listeners have %s %s", l.Protocol, l.Address)
 		}
 		seen[key] = true
 	}
 }
 
-func (c *checker) name(key, text string) string {
-	if text == "" {
-		c.fault(key, "must not be empty")
-	}
-	return text
-}
-
-func (c *checker) address(key, text string) netip.AddrPort {
-	a, err := netip.ParseAddrPort(text)
-	if err != nil || a.Port() == 0 {
-		c.fault(key, "%q is not an IP address and port", text)
-	}
-	return a
-}
-
-func (c *checker) duration(key, text string, otherwise time.Duration) time.Duration {
-	if text == "" && otherwise > 0 {
-		return otherwise
-	}
-	d, err := time.ParseDuration(text)
-	if err != nil || d <= 0 {
-		c.fault(key, "%q is not a duration above 0, such as 200ms", text)
-	}
-	return d
-}
-
-func (c *checker) count(key string, n *int, otherwise, most int) int {
-	if n == nil {
-		return otherwise
-	}
-	if *n < 1 || *n > most {
-		c.fault(key, "must be between 1 and %d", most)
-	}
-	return *n
-}
-
-func (c *checker) positive(key string, v float64) float64 {
-	if !(v > 0) {
-		c.fault(key, "must be above 0")
-	}
-	return v
-}
-
-func (c *checker) logFormat(text string) LogFormat {
-	switch f := LogFormat(text); f {
-	case "":
-		return LogJSON
-	case LogJSON, LogConsole:
-		return f
-	}
-	c.fault("LogFormat", "must be JSON or Console")
-	return LogJSON
-}
-
-// text decodes a value that reads its own text form.
+// text decodes a value that reads its own text form; empty text is a fault.
 func (c *checker) text(key, text string, v encoding.TextUnmarshaler) {
-	if _, level := v.(*zapcore.Level); level && text == "" {
-		return
-	}
 	c.valid(key, v.UnmarshalText([]byte(text)))
 }
 
@@ -275,11 +224,11 @@
 	case errors.As(err, &field) && field.Type == "Kind":
 		// Durations were checked with their text.
 		if field.Field != "Deadline" && field.Field != "IdleTimeout" {
-			c.fault(key+"."+field.Field, "%s", field.Reason)
+			c.Fault(key+"."+field.Field, "%s", field.Reason)
 		}
 	case errors.As(err, &field):
-		c.fault(key, "%s", field.Reason)
+		c.Fault(key, "%s", field.Reason)
 	default:
-		c.fault(key, "%v", err)
+		c.Fault(key, "%v", err)
 	}
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -40,7 +40,9 @@
 		Settings   *Settings
 		Membership Membership
 		Recorder   timeline.Recorder
-		Log        *zap.Logger
+		// Timeline serves the events over HTTP where it is set.
+		Timeline *timeline.Ring
+		Log      *zap.Logger
 		// Data and HTTP are sockets that are already open; Run opens those that
 		// are nil at the addresses of the settings.
 		Data *net.UDPConn
@@ -54,7 +56,9 @@
 		stopped  chan struct{}
 		view     atomic.Pointer[fleet.View]
 		leaving  atomic.Bool
-		client   *http.Client
+		// leaseUntil is the end of the lease in Unix nanoseconds.
+		leaseUntil atomic.Int64
+		client     *http.Client
 		// owners is the placement of the latest view, for the control goroutine.
 		owners *placement.Map
 	}
@@ -254,6 +258,10 @@
 }
 
 func (d *Daemon) update(ctx context.Context, u Update, now time.Time) {
+	d.storeLease(u.LeaseUntil)
+	if u.Services != nil {
+		d.registry.Services = u.Services
+	}
 	if u.View != nil {
 		d.adapter.SetView(u.View, now)
 		d.registry.SetView(u.View, now)
@@ -268,6 +276,16 @@
 	}
 }
 
+// storeLease keeps the end of the lease for other goroutines; 0 stands for
+// none, since the zero time has no Unix nanoseconds.
+func (d *Daemon) storeLease(until time.Time) {
+	if until.IsZero() {
+		d.leaseUntil.Store(0)
+		return
+	}
+	d.leaseUntil.Store(until.UnixNano())
+}
+
 func (d *Daemon) expire(now time.Time) {
 	gone := d.registry.Expire(now)
 	for _, id := range gone {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -17,6 +17,7 @@
 
 	"bamboowalk.org/bamboowalk/internal/announce"
 	"bamboowalk.org/bamboowalk/internal/geneve"
+	"bamboowalk.org/bamboowalk/internal/settingsfile"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
@@ -61,7 +62,7 @@
 	switch {
 	case s.ID != "a" || s.Zone != "Monza" || s.Data != netip.MustParseAddrPort("127.0.0.1:2"):
 		t.Errorf("got %+v", s)
-	case s.Shards != 1 || s.LogFormat != LogJSON || s.DrainTime != defaultDrainTime:
+	case s.Shards != 1 || s.Log.Format != settingsfile.LogJSON || s.DrainTime != defaultDrainTime:
 		t.Errorf("defaults: got %+v", s)
 	case l.Service != "T/S" || l.Protocol != fleet.UDP || l.Kind.Deadline != time.Second || !l.Kind.Idempotent:
 		t.Errorf("listener: got %+v", l)
@@ -97,9 +98,9 @@
 			[]string{"AnnounceRate", "LogFormat", "LogLevel", "QuietTime", "Shards"}},
 	} {
 		_, err := Parse("test.toml", tt.text)
-		var se *SettingsError
+		var se *settingsfile.Error
 		if !errors.As(err, &se) || se.File != "test.toml" {
-			t.Errorf("%s: got %v, want a SettingsError with the file", tt.name, err)
+			t.Errorf("%s: got %v, want a settingsfile.Error with the file", tt.name, err)
 			continue
 		}
 		var got []string
@@ -130,9 +131,9 @@
 	f.Add(minimal)
 	f.Fuzz(func(t *testing.T, text string) {
 		_, err := Parse("test.toml", text)
-		var se *SettingsError
+		var se *settingsfile.Error
 		if err != nil && (!errors.As(err, &se) || len(se.Faults) == 0) {
-			t.Errorf("got %v, want a SettingsError with faults", err)
+			t.Errorf("got %v, want a settingsfile.Error with faults", err)
 		}
 	})
 }
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"bamboowalk.org/bamboowalk/internal/announce"
+	"bamboowalk.org/bamboowalk/pkg/timeline"
 )
 
 func (d *Daemon) handler() http.Handler {
@@ -17,6 +18,10 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(metrics, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /health", d.health)
+	if d.Timeline != nil {
+		mux.Handle("GET "+timeline.Path, &timeline.Handler{Ring: d.Timeline})
+	}
+	mux.HandleFunc("GET "+StatusPath, d.serveStatus)
 	announcements := d.announcements()
 	mux.Handle("POST "+announce.Path, announcements)
 	mux.Handle("DELETE "+announce.Path, announcements)
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"bamboowalk.org/bamboowalk/internal/announce"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
@@ -20,10 +21,12 @@
 
 type (
 	// Update is a change of what membership says. View is frozen, or nil where
-	// only the lease changes.
+	// only the lease changes. Services holds the targets' credentials, or is
+	// nil where they did not change.
 	Update struct {
 		View       *fleet.View
 		LeaseUntil time.Time
+		Services   map[fleet.ServiceID]announce.Credential
 	}
 
 	// Membership agrees with the other VMs of the zone on views and leases.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -1,25 +1,14 @@
 package entry
 
 import (
-	"fmt"
 	"net/netip"
-	"os"
-	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
-	"go.uber.org/zap/zapcore"
-
 	"bamboowalk.org/bamboowalk/internal/announce"
+	"bamboowalk.org/bamboowalk/internal/settingsfile"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
-// Log formats.
-const (
-	LogJSON    LogFormat = "JSON"
-	LogConsole LogFormat = "Console"
-)
-
 const (
 	defaultDrainTime    = 30 * time.Second
 	defaultQuietTime    = 2 * time.Second
@@ -30,9 +19,6 @@
 )
 
 type (
-	// LogFormat selects the form of log lines.
-	LogFormat string
-
 	// Settings are the checked settings of an entry VM.
 	Settings struct {
 		ID            fleet.VMID
@@ -43,8 +29,7 @@
 		Fabric        []netip.AddrPort
 		FabricSources []netip.Prefix
 		Shards        int
-		LogFormat     LogFormat
-		LogLevel      zapcore.Level
+		Log           settingsfile.Log
 		// DrainTime bounds a planned stop.
 		DrainTime time.Duration
 		// QuietTime is the time without packets after which a planned stop
@@ -61,33 +46,19 @@
 		Services     map[fleet.ServiceID]announce.Credential
 		Listeners    []fleet.Listener
 		Targets      []fleet.Target
+		// Replicas are the control VMs. Where there are some, services and
+		// listeners come from them, and the members of Zones are only the first
+		// VMs to ask.
+		Replicas []Replica
 	}
 
-	// Fault is one fault of a settings file.
-	Fault struct {
-		Key    string
-		Reason string
-	}
-
-	// SettingsError reports all faults of a settings file.
-	SettingsError struct {
-		File   string
-		Faults []Fault
+	// Replica is where a control VM takes hints and pulls.
+	Replica struct {
+		ID      fleet.VMID
+		Control netip.AddrPort
 	}
 )
 
-// Error lists the faults, one a line.
-func (e *SettingsError) Error() string {
-	lines := make([]string, len(e.Faults))
-	for i, f := range e.Faults {
-		lines[i] = fmt.Sprintf("%s: %s: %s", e.File, f.Key, f.Reason)
-		if f.Key == "" {
-			lines[i] = fmt.Sprintf("%s: %s", e.File, f.Reason)
-		}
-	}
-	return strings.Join(lines, "\n")
-}
-
 // file is the form of a settings file. Values that need decoding are text, so
 // that one wrong value does not hide the others.
 type (
@@ -109,6 +80,12 @@
 		AnnounceRate  *float64      `toml:"AnnounceRate"`
 		Zones         []fileZone    `toml:"Zones"`
 		Services      []fileService `toml:"Services"`
+		Replicas      []fileReplica `toml:"Replicas"`
+	}
+
+	fileReplica struct {
+		ID      string `toml:"ID"`
+		Control string `toml:"Control"`
 	}
 
 	fileZone struct {
@@ -157,31 +134,29 @@
 	}
 )
 
-// Load reads and checks a settings file; it returns a SettingsError with all
-// faults.
+// Load reads and checks a settings file; it returns a settingsfile.Error with
+// all faults.
 func Load(path string) (*Settings, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, &SettingsError{File: path, Faults: []Fault{{Reason: err.Error()}}}
-	}
-	return Parse(path, string(text))
+	var f file
+	c, err := settingsfile.Load(path, &f)
+	return check(c, &f, err)
 }
 
-// Parse checks the text of a settings file; it returns a SettingsError with
-// all faults.
+// Parse checks the text of a settings file; it returns a settingsfile.Error
+// with all faults.
 func Parse(path, text string) (*Settings, error) {
 	var f file
-	meta, err := toml.Decode(text, &f)
+	c, err := settingsfile.Parse(path, text, &f)
+	return check(c, &f, err)
+}
+
+func check(c *settingsfile.Checker, f *file, err error) (*Settings, error) {
 	if err != nil {
-		return nil, &SettingsError{File: path, Faults: []Fault{{Reason: err.Error()}}}
-	}
-	c := &checker{}
-	for _, key := range meta.Undecoded() {
-		c.fault(key.String(), "unknown key")
+		return nil, err
 	}
-	s := c.settings(&f)
-	if len(c.faults) > 0 {
-		return nil, &SettingsError{File: path, Faults: c.faults}
+	s := (&checker{c}).settings(f)
+	if err := c.Err(); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -14,7 +14,6 @@
 	Membership Channel = iota + 1
 	Lease
 	Spread
-	Balancer
 	channels
 )
 
@@ -52,8 +51,6 @@
 		return "Lease"
 	case Spread:
 		return "Spread"
-	case Balancer:
-		return "Balancer"
 	}
 	return fmt.Sprintf("Channel(%d)", uint8(c))
 }
--- a/internal/settingsfile/file.go
+++ b/internal/settingsfile/file.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding"
-	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -61,12 +60,7 @@
 func Parse(path, text string, form any) (*Checker, error) {
 	meta, err := toml.Decode(text, form)
 	if err != nil {
-		f := Fault{Reason: err.Error()}
-		var pe toml.ParseError
-		if errors.As(err, &pe) {
-			f = Fault{Key: fmt.Sprintf("line %d", pe.Position.Line), Reason: err.Error()}
-		}
-		return nil, &Error{File: path, Faults: []Fault{f}}
+		return nil, &Error{File: path, Faults: []Fault{{Reason: err.Error()}}}
 	}
 	c := &Checker{File: path}
 	for _, key := range meta.Undecoded() {
--- a/pkg/settings/document.go
+++ b/pkg/settings/document.go
@@ -55,6 +55,9 @@
 		EntryVMs []fleet.VM      `toml:"EntryVMs"`
 		// Council names the entry VMs that grant leases and choose views.
 		Council []fleet.VMID `toml:"Council"`
+		// CouncilRevision rises with each change of Council. A council that
+		// has lost its majority for good is replaced by raising it.
+		CouncilRevision uint32 `toml:"CouncilRevision"`
 	}
 
 	// Access is the document of a key.
@@ -176,6 +179,9 @@
 	if len(z.Council) == 0 || len(z.Council) > MaxCouncil {
 		r.add("Council", fmt.Sprintf("must name 1 to %d entry VMs", MaxCouncil))
 	}
+	if z.CouncilRevision == 0 {
+		r.add("CouncilRevision", "must be at least 1")
+	}
 	known := make(map[fleet.VMID]bool)
 	for i, vm := range z.EntryVMs {
 		key := fmt.Sprintf("EntryVMs[%d]", i)
--- a/pkg/settings/tree.go
+++ b/pkg/settings/tree.go
@@ -85,6 +85,8 @@
 		t.checkListener(r, p, c)
 	case *Service:
 		t.checkService(r, p, c)
+	case *Zone:
+		t.checkZone(r, p, c)
 	}
 	return r.err()
 }
@@ -118,6 +120,22 @@
 	}
 }
 
+// checkZone guards the council: two councils must never share a revision,
+// since leases and views of both would then count as one.
+func (t *tree) checkZone(r *report, p Path, z *Zone) {
+	n := t.nodes[p]
+	if n == nil || n.Deleted {
+		return
+	}
+	old := n.content.(*Zone)
+	switch {
+	case z.CouncilRevision < old.CouncilRevision:
+		r.add("CouncilRevision", fmt.Sprintf("must not fall below %d", old.CouncilRevision))
+	case z.CouncilRevision == old.CouncilRevision && !slices.Equal(z.Council, old.Council):
+		r.add("CouncilRevision", fmt.Sprintf("must be above %d where Council changes", old.CouncilRevision))
+	}
+}
+
 // checkDelete returns an InvalidError where another document refers to p.
 func (t *tree) checkDelete(p Path) error {
 	r := &report{path: p}
