Take a flow over by an answer also from the entries away and moved

A trace showed that the successor held the flow as moved to the lost VM, or as away at the target that it now owns, and dropped the answers.

--- a/pkg/balancer/answer.go
+++ b/pkg/balancer/answer.go
@@ -21,10 +21,7 @@
 		key = p.Header.Target
 		p.End = End(p.Header.Step)
 	}
-	i := b.find(p)
-	if i == noEntry {
-		i = b.adoptAnswered(p, key, now)
-	}
+	i := b.takeAnswered(p, key, now)
 	if i == noEntry {
 		return b.strayAnswer(p, key, b.placement.Owner(key), out)
 	}
@@ -65,22 +62,35 @@
 	}
 }
 
-// adoptAnswered takes over a flow of a lost predecessor by an answer of its
-// target: during a download the caller may send nothing until data arrives, so
-// that no packet of its own would bring the flow here. The answer proves that
-// the flow is at the target, so that no request can run twice. It returns
-// noEntry where this VM did not inherit the target.
-func (b *Balancer) adoptAnswered(p *Packet, key fleet.TargetKey, now time.Time) uint32 {
+// takeAnswered returns the entry of an answer's flow, or noEntry. Where this
+// VM inherited the target from a VM that was lost, it takes the flow over:
+// during a download the caller may send nothing until data arrives, so that no
+// packet of its own would bring the flow here. The answer proves that the flow
+// is at the target, so that no request can run twice.
+func (b *Balancer) takeAnswered(p *Packet, key fleet.TargetKey, now time.Time) uint32 {
+	i := b.find(p)
 	at, known := b.places.at[key]
 	l := b.view.Listener(p.Flow.VIP, p.Flow.Protocol)
 	if !known || l == nil || p.End != NoEnd {
-		return noEntry
+		return i
 	}
 	pl := &b.places.all[at]
 	if !pl.owned || pl.id.Service != l.Service || !pl.lostWithin(tick(now), ticks(l.Kind.IdleTimeout)) {
-		return noEntry
+		return i
 	}
-	i := b.addFlow(p, l, at, now)
+	if i != noEntry {
+		e := &b.flows.entries[i]
+		switch {
+		case e.state == stateAway && e.place == at:
+			b.comeHome(i, now)
+			return i
+		case e.state != stateMoved || b.isPeer(b.vms[e.place]):
+			return i
+		}
+		// The VM to which the flow moved is the one that was lost.
+		b.removeFlow(i, Cancelled, now)
+	}
+	i = b.addFlow(p, l, at, now)
 	if i != noEntry {
 		b.adoptEntry(i, eventAdopt, now)
 	}
