--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -365,3 +365,45 @@
 		}
 	})
 }
+
+// Guards against a leader that counts copies of an entry of an earlier term
+// for commit or changes the replicas before it has committed, and against a
+// vote that a crash forgets; the storm rarely meets these cases.
+func TestLeaderRules(t *testing.T) {
+	d, now, members := newDisk(rand.New(rand.NewPCG(1, 1))), time.Unix(1e9, 0), voters(names[:3])
+	m := &machine{w: &world{t: t, hashes: map[Index]uint64{}}}
+	r := open(t, members[0].Identity, members, d, m, now)
+	r.setHard(hardState{Term: 2})
+	r.appendEntry(Entry{2, 2, CommandEntry, 1, []byte("{}")})
+	r.fire(eventElectionTimeout)
+	r.fire(eventPreVoteWon)
+	r.elect(false)
+	r.countVote(members[1].Identity, &Message{})
+	r.joining["d"] = 5
+	r.Flush(now)
+	acknowledge := func(match Index) Index {
+		r.Handle("b", Message{Kind: AppendReply, Term: 3, From: 1, At: Position{Index: match}}, now)
+		return r.Stats().Commit
+	}
+	if got := acknowledge(2); got != 1 {
+		t.Errorf("commit after a copy of an entry of term 2: got %d, want 1", got)
+	}
+	var ce *ChangeError
+	if _, err := r.Change(AddLearner, "d"); !errors.As(err, &ce) {
+		t.Errorf("change before the first commit: got %v, want ChangeError", err)
+	}
+	if got := acknowledge(3); got != 3 {
+		t.Errorf("commit after a copy of an entry of term 3: got %d, want 3", got)
+	}
+	if _, err := r.Change(AddLearner, "d"); err != nil {
+		t.Errorf("change: got %v, want no error", err)
+	}
+	if _, err := r.Change(Remove, "c"); !errors.As(err, &ce) {
+		t.Errorf("second change: got %v, want ChangeError", err)
+	}
+	d.crash()
+	want := hardState{Term: 3, Vote: members[0].Identity}
+	if r = open(t, members[0].Identity, members, d, m, now); r.hard != want {
+		t.Errorf("after a crash: got %+v, want %+v", r.hard, want)
+	}
+}
