Share view pushes among the council members in the view

Cause: the share of a crashed council member was pushed by nobody, so that its VMs learnt of the new view only with their next renewal.

Change: the shares are formed over the council members in the new view. Tests run in parallel.

--- a/pkg/lease/acceptor.go
+++ b/pkg/lease/acceptor.go
@@ -188,16 +188,25 @@
 }
 
 // share returns the VMs outside the council that this council member pushes
-// to: each VM has one such council member.
+// to: each VM has one such council member among those in the view.
 func (m *Machine) share(v, prev *View) []fleet.VMID {
-	own, _ := slices.BinarySearch(m.council.Members, m.self)
+	own, pushers := -1, 0
+	for _, id := range m.council.Members {
+		if _, ok := v.Member(id); !ok {
+			continue
+		}
+		if id == m.self {
+			own = pushers
+		}
+		pushers++
+	}
 	var out []fleet.VMID
 	i := 0
 	add := func(id fleet.VMID) {
 		if m.inCouncil(id) {
 			return
 		}
-		if i%len(m.council.Members) == own {
+		if pushers > 0 && i%pushers == own {
 			out = append(out, id)
 		}
 		i++
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -167,6 +167,7 @@
 // Guards against VMs that do not find each other, crashes that go unnoticed,
 // returns that are not accepted and leaves that look like crashes.
 func TestJoinCrashRestartLeave(t *testing.T) {
+	t.Parallel()
 	for n, seeds := range map[int]uint64{3: 4, 7: 4, 20: 3, 60: 1} {
 		for seed := range seeds {
 			f := newFleet(t, seed, n, "monza")
@@ -195,6 +196,7 @@
 // Guards against the removal of VMs that are up: by loss, by one-way cuts
 // between pairs, by a peer that hears nothing, by frozen peers.
 func TestNoFalseDeaths(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(8) {
 		f := newFleet(t, seed, 20, "monza")
 		f.net.Loss = 0.05
@@ -240,6 +242,7 @@
 // Guards against a partitioned zone that stays split, and against a flapping
 // VM that enters views each time it returns.
 func TestPartitionAndFlapping(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 5, 12, "monza")
 	f.startAll()
 	f.net.RunUntil(10*time.Second, f.allAlive)
@@ -286,6 +289,7 @@
 // Guards against zones that do not learn each other's members, free slots and
 // epochs, or that take a cut zone for reachable.
 func TestZoneDigests(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 7, 6, "como", "lecco", "monza")
 	f.net.Loss = 0.02
 	f.startAll()
