--- a/pkg/balancer/answer.go
+++ b/pkg/balancer/answer.go
@@ -64,6 +64,10 @@
 
 // strayAnswer passes an answer without a flow to the VM that may hold it.
 func (b *Balancer) strayAnswer(p *Packet, key fleet.TargetKey, to fleet.VMID, out []Action) []Action {
+	if _, stateless := b.cfg.Strategy.(Table); stateless && p.Source == FromTarget {
+		b.stats.Replies++
+		return append(out, Action{Op: Reply, Flow: p.Flow, Target: p.Target, Payload: p.Payload})
+	}
 	if to == b.self || !b.isPeer(to) {
 		return b.drop(p, CauseUnknownFlow, out)
 	}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -88,6 +88,7 @@
 	if b.view != nil && v.Epoch < b.view.Epoch {
 		return
 	}
+	b.noteLease(now)
 	old := b.placement
 	b.view = v
 	b.placement = placement.New(v)
@@ -100,9 +101,18 @@
 	b.sendHistory(old, now)
 }
 
+// noteLease forgets the last sealed epoch where the lease ended: epochs that
+// this VM never saw may have been sealed since.
+func (b *Balancer) noteLease(now time.Time) {
+	if !now.Before(b.leaseUntil) {
+		b.history.unsealed = nil
+	}
+}
+
 // mayDecide reports whether a non-idempotent request may be decided now: with
-// a valid lease, and in a sealed epoch or where the last sealed epoch gives
-// the flow the same candidates and owners.
+// a valid lease, and in a sealed epoch or where the last epoch known as sealed
+// and all later ones give the flow the same candidates and owners. Any of the
+// later ones may have been sealed without this VM hearing of it.
 func (b *Balancer) mayDecide(s fleet.ServiceID, h fleet.FlowHash, r Route, now time.Time) bool {
 	if !now.Before(b.leaseUntil) {
 		return false
@@ -110,14 +120,21 @@
 	if b.view.Sealed {
 		return true
 	}
-	m := b.history.sealed
-	if m == nil {
-		return false
+	for _, m := range b.history.unsealed {
+		if !b.sameRoute(m, s, h, r) {
+			return false
+		}
 	}
+	return len(b.history.unsealed) > 0
+}
+
+// sameRoute reports whether an earlier placement gives the flow the same home
+// zone, candidates and owners as the present one.
+func (b *Balancer) sameRoute(m *placement.Map, s fleet.ServiceID, h fleet.FlowHash, r Route) bool {
 	old, oldZone, zone := b.cfg.Strategy.Route(m, s, h), m.HomeZone(s, h), b.placement.HomeZone(s, h)
 	return old.First.Key == r.First.Key && old.Second.Key == r.Second.Key &&
 		old.First.Owner == r.First.Owner && old.Second.Owner == r.Second.Owner &&
-		oldZone != nil && zone != nil && oldZone.ID == zone.ID
+		(oldZone == nil) == (zone == nil) && (zone == nil || oldZone.ID == zone.ID)
 }
 
 // Handle decides about one packet and appends the actions to out. Payloads of
@@ -183,6 +200,7 @@
 	}
 	b.notePause(now)
 	b.lastTick = now
+	b.noteLease(now)
 	out = b.moveQueued(now, out)
 	out = b.releaseHeld(now, out)
 	for _, at := range b.places.owned {
--- a/pkg/balancer/handover.go
+++ b/pkg/balancer/handover.go
@@ -327,16 +327,19 @@
 
 func (b *Balancer) applyRecords(m *handoverMessage, now time.Time) {
 	for _, rec := range m.Records {
-		b.applyRecord(&rec, now)
+		b.applyRecord(&rec, m.Epoch, now)
 	}
 }
 
 // applyRecord makes an entry from a record; an entry of the same request that
-// this VM has already is newer.
-func (b *Balancer) applyRecord(rec *flowRecord, now time.Time) {
+// this VM has already is newer, and so is a move to a VM of a later epoch.
+func (b *Balancer) applyRecord(rec *flowRecord, epoch fleet.Epoch, now time.Time) {
 	p := Packet{Flow: rec.Flow, hash: rec.Flow.Hash(), Instance: rec.Instance}
 	if i := b.find(&p); i != noEntry {
 		e := &b.flows.entries[i]
+		if e.state == stateMoved && e.epoch >= uint32(epoch) {
+			return
+		}
 		if !e.isElsewhere() && (rec.Instance == 0 || e.instance == rec.Instance) {
 			return
 		}
--- a/pkg/balancer/history.go
+++ b/pkg/balancer/history.go
@@ -24,8 +24,9 @@
 	// place knows its own predecessor.
 	history struct {
 		past []pastView // newest first
-		// sealed is the placement of the last sealed epoch, or nil.
-		sealed *placement.Map
+		// unsealed starts with the placement of the last epoch known as sealed
+		// and holds those of all later ones; it is empty where none is known.
+		unsealed []*placement.Map
 		// from is the time since which past is complete.
 		from  time.Time
 		known bool
@@ -60,8 +61,13 @@
 			h.past = h.past[:maxPast]
 		}
 	}
-	if m.View().Sealed {
-		h.sealed = m
+	switch {
+	case m.View().Sealed:
+		h.unsealed = append(h.unsealed[:0], m)
+	case len(h.unsealed) >= maxPast:
+		h.unsealed = nil
+	case len(h.unsealed) > 0:
+		h.unsealed = append(h.unsealed, m)
 	}
 }
 
--- a/pkg/balancer/offer.go
+++ b/pkg/balancer/offer.go
@@ -142,6 +142,9 @@
 func (b *Balancer) giveBack(p *Packet, out []Action) []Action {
 	b.stats.Returned++
 	h := PassHeader{Mode: Returned, Target: p.Header.Target, Epoch: p.Header.Epoch, Origin: p.Header.Origin}
+	if at, ok := b.places.at[h.Target]; ok && b.places.all[at].limiter != nil {
+		h.Pressure = b.places.all[at].limiter.Pressure()
+	}
 	return b.pass(p, p.Header.Origin, h, out)
 }
 
