Drive the decision core in the experiments

Change: the strategies TargetOwner, FlowOwner and Table are those of pkg/balancer with leases and control messages; the models stay under names of their own. Flows are TCP, since the core rightly takes a reset of an unknown UDP flow for a start packet. A target sends its answer and then the end of the request.

--- a/internal/load/baseline.go
+++ b/internal/load/baseline.go
@@ -165,3 +165,5 @@
 func (b *baseline) Takeover(int, time.Time)                                             {}
 func (b *baseline) PressureOf(fleet.KindName) uint8                                     { return 0 }
 func (b *baseline) InFlight() int                                                       { return len(b.running) }
+func (b *baseline) ReportLoad(int, time.Time)                                           {}
+func (b *baseline) Pressure() uint8                                                     { return 0 }
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -57,8 +57,9 @@
 	k := &kindState{
 		spec: spec,
 		listener: fleet.Listener{
-			Address:  vip,
-			Protocol: fleet.UDP,
+			Address: vip,
+			// A UDP flow has no resets, with which callers here end a flow.
+			Protocol: fleet.TCP,
 			Service:  spec.Service,
 			Answers:  fleet.Through,
 			Kind: fleet.Kind{
--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -25,7 +25,7 @@
 	RunCommand struct {
 		Workload  string    `arg:"" help:"File of the workload, or its name in the list."`
 		Seed      uint64    `default:"1" help:"Seed of arrivals, service times and spraying."`
-		Strategy  Strategy  `default:"TargetOwner" enum:"TargetOwner,FlowOwner,Table" help:"Placement strategy (${enum})."`
+		Strategy  Strategy  `default:"TargetOwner" enum:"TargetOwner,FlowOwner,Table,TargetOwnerModel,FlowOwnerModel,TableModel" help:"Placement strategy (${enum})."`
 		Admission Admission `default:"Adaptive" enum:"Adaptive,Unlimited,StrictPriority,StaticLimits" help:"Admission control (${enum})."`
 		JSON      string    `name:"json" placeholder:"FILE" help:"Write the result as JSON."`
 		HTML      string    `name:"html" placeholder:"FILE" help:"Write the result as an HTML page."`
@@ -121,8 +121,8 @@
 	}
 	// A summary that can't be printed has no other place to go.
 	_ = w.Flush()
-	fmt.Fprintf(out, "broken flows %d, double runs %d, refusals that ran %d, passes per flow %.2f, drops: %s\n",
-		r.BrokenFlows, r.DoubleRuns, r.RefusalsThatRan, r.PassesPerRequest, causes(r.Drops))
+	fmt.Fprintf(out, "broken flows %d, double runs %d, refusals that ran %d, passes per flow %.2f, control %.0f B/s per VM, drops: %s\n",
+		r.BrokenFlows, r.DoubleRuns, r.RefusalsThatRan, r.PassesPerRequest, r.ControlRate, causes(r.Drops))
 }
 
 // causes lists counts by cause, ordered by name.
--- a/internal/load/decider.go
+++ b/internal/load/decider.go
@@ -9,7 +9,8 @@
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
-// Strategies of placement (section 3 of the design page).
+// Strategies of placement (section 3 of the design page), by the decision core
+// of pkg/balancer.
 const (
 	// TargetOwner decides at the one owner of each target.
 	TargetOwner Strategy = "TargetOwner"
@@ -18,6 +19,11 @@
 	FlowOwner Strategy = "FlowOwner"
 	// Table decides by hashing at each VM.
 	Table Strategy = "Table"
+	// TargetOwnerModel, FlowOwnerModel and TableModel are the small models of
+	// the strategies that were measured before the decision core was there.
+	TargetOwnerModel Strategy = "TargetOwnerModel"
+	FlowOwnerModel   Strategy = "FlowOwnerModel"
+	TableModel       Strategy = "TableModel"
 )
 
 // Admission controls, the first being that of pkg/admission.
@@ -39,8 +45,7 @@
 	// Admission names an admission control.
 	Admission string
 
-	// Decider is the decision core of one entry VM; balancer.Balancer has the
-	// same methods.
+	// Decider is the decision core of one entry VM, such as balancer.Balancer.
 	Decider interface {
 		Handle(p balancer.Packet, now time.Time, out []balancer.Action) []balancer.Action
 		Tick(now time.Time, out []balancer.Action) []balancer.Action
@@ -48,7 +53,7 @@
 	}
 
 	// NewDecider makes the decision core of one entry VM.
-	NewDecider func() Decider
+	NewDecider func(self fleet.VMID) Decider
 
 	// limiter is what the strategies need of an admission control.
 	limiter interface {
@@ -60,6 +65,8 @@
 		Adopt(r admission.Request, now time.Time)
 		Configure(target fleet.Target, kinds []fleet.Kind, now time.Time) []admission.Request
 		Takeover(reported int, now time.Time)
+		ReportLoad(inFlight int, now time.Time)
+		Pressure() uint8
 		PressureOf(kind fleet.KindName) uint8
 		InFlight() int
 	}
@@ -76,7 +83,7 @@
 func (e *OptionError) Error() string { return fmt.Sprintf("unknown %s %q", e.Option, e.Value) }
 
 // NewDeciderFor returns the constructor of a strategy with an admission
-// control. Table has no place for one and ignores it.
+// control. The model of Table has no place for one and ignores it.
 func NewDeciderFor(s Strategy, a Admission) (NewDecider, error) {
 	limit, err := limiterFor(a)
 	if err != nil {
@@ -84,11 +91,17 @@
 	}
 	switch s {
 	case TargetOwner:
-		return func() Decider { return newTargetOwner(limit) }, nil
+		return newCore(balancer.TargetOwner{}, limit), nil
 	case FlowOwner:
-		return func() Decider { return newFlowOwner(limit) }, nil
+		return newCore(balancer.FlowOwner{}, limit), nil
 	case Table:
-		return func() Decider { return &table{} }, nil
+		return newCore(balancer.Table{}, limit), nil
+	case TargetOwnerModel:
+		return func(fleet.VMID) Decider { return newTargetOwner(limit) }, nil
+	case FlowOwnerModel:
+		return func(fleet.VMID) Decider { return newFlowOwner(limit) }, nil
+	case TableModel:
+		return func(fleet.VMID) Decider { return &table{} }, nil
 	}
 	return nil, &OptionError{Option: "strategy", Value: string(s)}
 }
--- a/internal/load/doc.go
+++ b/internal/load/doc.go
@@ -1,5 +1,6 @@
 // Package load is the experiment tool behind "bamboowalk load". It drives the
-// decision code of entry VMs with open-loop arrivals over small stand-ins for
+// decision core of entry VMs (pkg/balancer with pkg/admission, or a small model
+// of each strategy) with open-loop arrivals over small stand-ins for
 // callers, fabric and targets, in virtual time, so that a run with a given
 // seed always gives the same result.
 //
--- a/internal/load/owner.go
+++ b/internal/load/owner.go
@@ -601,17 +601,20 @@
 
 func (o *targetOwner) fromTarget(p *balancer.Packet, now time.Time) {
 	rec := o.flows[p.Flow]
-	if rec == nil || rec.state != flowRunning || rec.target != p.Target.Key() {
+	if rec == nil || rec.state != flowRunning && rec.state != flowEnded || rec.target != p.Target.Key() {
 		o.drop(p, causeUnknownFlow)
 		return
 	}
 	result := admission.Completed
-	if p.End == balancer.Shed {
+	switch p.End {
+	case balancer.Shed:
 		result = admission.Shed
 		o.refuse(p.Flow, rec, causeShed, fleet.Unknown, now)
-	} else {
-		o.out = append(o.out, balancer.Action{Op: balancer.Reply, Flow: p.Flow, Payload: p.Payload})
+	case balancer.Done:
 		o.end(rec, now)
+	default:
+		o.out = append(o.out, balancer.Action{Op: balancer.Reply, Flow: p.Flow, Payload: p.Payload})
+		return
 	}
 	if owned := o.owned[rec.target]; owned != nil {
 		owned.limiter.Finish(p.Flow, result, now)
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -57,8 +57,11 @@
 		// PassesPerRequest is the mean number of passes between entry VMs for a
 		// flow.
 		PassesPerRequest float64
-		Drops            map[balancer.Cause]int
-		Series           []Sample
+		// ControlRate is the mean number of bytes per second that a VM sends in
+		// control messages of the decision core.
+		ControlRate fleet.BytesPerSecond
+		Drops       map[balancer.Cause]int
+		Series      []Sample
 	}
 
 	// KindResult is the part of one kind.
@@ -126,6 +129,7 @@
 		packets      int
 		open         int // requests that are not closed
 		passes       int
+		controlBytes int
 		attempts     int
 		drops        map[balancer.Cause]int
 		series       []Sample
@@ -392,6 +396,7 @@
 		Drops:           c.drops,
 		Series:          c.series,
 	}
+	r.ControlRate = fleet.BytesPerSecond(float64(c.controlBytes) / w.now.Seconds() / float64(len(w.vms)))
 	for _, t := range w.targets {
 		if t.alive {
 			t.upTime += c.overlap(t.upSince, w.now)
--- a/internal/load/simple.go
+++ b/internal/load/simple.go
@@ -29,6 +29,9 @@
 		if p.End == balancer.Shed {
 			return append(out, balancer.Action{Op: balancer.Refuse, Flow: p.Flow, Cause: causeShed, Outcome: fleet.Unknown})
 		}
+		if p.End == balancer.Done {
+			return out
+		}
 		return append(out, balancer.Action{Op: balancer.Reply, Flow: p.Flow, Payload: p.Payload})
 	}
 	l := t.view.Listener(p.Flow.VIP, p.Flow.Protocol)
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -55,10 +55,10 @@
 	}
 	r := t.runs[flow]
 	switch {
-	case r == nil && p[0] == 0:
-		t.world.result.strayPackets++
 	case cancel || balancer.End(p[1]) == balancer.Reset:
 		t.cancel(flow, r)
+	case r == nil && p[0] == 0:
+		t.world.result.strayPackets++
 	case r != nil:
 		r.owner = from
 		if r.state == runDone {
@@ -148,18 +148,25 @@
 	}
 }
 
-// answer sends the end of a request to the entry VM of its last packet, and
-// again while that VM is lost.
+// answer sends the answer and then the end of a request, or that it was shed,
+// to the entry VM of its last packet, and again while that VM is lost.
 func (t *target) answer(flow fleet.FlowKey, r *run, end balancer.End) {
 	w := t.world
 	d, ok := w.path(t.zone, r.owner.zone)
 	w.after(d, func() {
-		p := balancer.Packet{Flow: flow, Source: balancer.FromTarget, End: end, Target: t.public.ID, Payload: ackPayload}
-		if ok && w.deliver(r.owner, p) {
-			return
+		p := balancer.Packet{Flow: flow, Source: balancer.FromTarget, Target: t.public.ID, Payload: ackPayload}
+		if end == balancer.Shed {
+			// A target gives the start packet back with its refusal.
+			p.Payload = startPayload
+		}
+		if ok && (end == balancer.Shed || w.deliver(r.owner, p)) {
+			p.End = end
+			ok = w.deliver(r.owner, p)
+		} else {
+			ok = false
 		}
 		r.sends++
-		if r.sends < resends && t.alive {
+		if !ok && r.sends < resends && t.alive {
 			w.after(resendTime, func() { t.answer(flow, r, end) })
 		}
 	})
--- a/internal/load/world.go
+++ b/internal/load/world.go
@@ -123,7 +123,8 @@
 		}
 		w.zones = append(w.zones, z)
 		for j := range spec.VMs {
-			v := &vm{id: fleet.VMID(fmt.Sprintf("%s-%d", spec.ID, j)), zone: z, alive: true, decider: newDecider()}
+			v := &vm{id: fleet.VMID(fmt.Sprintf("%s-%d", spec.ID, j)), zone: z, alive: true}
+			v.decider = newDecider(v.id)
 			w.vms = append(w.vms, v)
 			w.byVM[v.id] = v
 			z.known = append(z.known, v)
@@ -186,9 +187,13 @@
 func (w *world) tickAll() {
 	now := w.wall()
 	for _, v := range w.vms {
-		if v.alive {
-			w.perform(v, v.decider.Tick(now, w.actions[:0]))
+		if !v.alive {
+			continue
+		}
+		if core, ok := v.decider.(leased); ok {
+			core.SetLease(now.Add(leaseTime))
 		}
+		w.perform(v, v.decider.Tick(now, w.actions[:0]))
 	}
 	w.after(tick, w.tickAll)
 }
@@ -262,6 +267,8 @@
 		w.after(d, func() {
 			w.deliver(to, balancer.Packet{Flow: flow, Source: balancer.FromPeer, Header: header, Payload: bytes})
 		})
+	case balancer.Control:
+		w.control(from, w.byVM[a.Peer], bytes)
 	case balancer.Refuse:
 		cause, outcome := a.Cause, a.Outcome
 		w.after(w.load.Fleet.ClientLatency, func() { w.refused(flow, cause, outcome) })
@@ -272,6 +279,24 @@
 	}
 }
 
+// control sends a control message to another entry VM.
+func (w *world) control(from, to *vm, body []byte) {
+	w.result.controlBytes += len(body)
+	if to == nil {
+		return
+	}
+	d, ok := w.path(from.zone, to.zone)
+	if !ok {
+		return
+	}
+	w.after(d, func() {
+		core, ok := to.decider.(controlled)
+		if ok && to.alive {
+			w.perform(to, core.HandleControl(from.id, body, w.wall(), w.actions[:0]))
+		}
+	})
+}
+
 // path returns the latency between two zones, and false where they are cut.
 func (w *world) path(a, b *zone) (time.Duration, bool) {
 	if a == b {
