Tell targets the remaining time instead of the whole deadline

Cause: the option Deadline carried the kind's deadline on each packet, also after a request had waited in a queue. Change: balancer.Remaining looks the deadline of a running flow up; the shard asks for it where a request may start. Conclusion: a queued request reaches its target with the time it has left.

--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -34,6 +34,7 @@
 		Tick(now time.Time, out []balancer.Action) []balancer.Action
 		SetView(v *fleet.View, now time.Time)
 		HandleControl(from fleet.VMID, body []byte, now time.Time, out []balancer.Action) []balancer.Action
+		Remaining(flow fleet.FlowKey, now time.Time) time.Duration
 		ReportLoad(key fleet.TargetKey, inFlight int, now time.Time)
 		SetLease(until time.Time)
 		Stats() balancer.Stats
@@ -123,7 +124,7 @@
 func (s *shard) handle(r *geneve.Received, now time.Time) {
 	defer r.Release()
 	if r.Message != nil {
-		s.do(s.core.HandleControl(r.From, r.Message, now, s.actions[:0]))
+		s.do(s.core.HandleControl(r.From, r.Message, now, s.actions[:0]), true, now)
 		return
 	}
 	if r.Packet.Start && now.Before(s.pausedUntil) {
@@ -137,19 +138,26 @@
 	if r.Header.Control && r.Packet.End == balancer.NoEnd {
 		return
 	}
-	s.do(s.core.Handle(r.Packet, now, s.actions[:0]))
+	s.do(s.core.Handle(r.Packet, now, s.actions[:0]), r.Packet.Start, now)
 }
 
-// do carries out actions and keeps their slice for the next call.
-func (s *shard) do(actions []balancer.Action) {
+// do carries out actions and keeps their slice for the next call. start says
+// whether a Forward among them may start a request, whose target hears of the
+// deadline. A UDP payload that looks like a QUIC packet with a short header is
+// no start to the adapter, so that its target hears of none.
+func (s *shard) do(actions []balancer.Action, start bool, now time.Time) {
 	for i := range actions {
-		s.sender.Do(&actions[i])
+		var remaining time.Duration
+		if start && actions[i].Op == balancer.Forward {
+			remaining = s.core.Remaining(actions[i].Flow, now)
+		}
+		s.sender.Do(&actions[i], remaining)
 	}
 	s.actions = actions
 }
 
 func (s *shard) tick(now time.Time) {
-	s.do(s.core.Tick(now, s.actions[:0]))
+	s.do(s.core.Tick(now, s.actions[:0]), true, now)
 	s.alive.Store(now.UnixNano())
 	if now.Sub(s.lastStat) >= statsInterval {
 		s.lastStat = now
--- a/internal/geneve/sender.go
+++ b/internal/geneve/sender.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"time"
 
 	"golang.org/x/net/ipv4"
 
@@ -42,12 +43,13 @@
 	return s
 }
 
-// Do carries out an action. Datagrams leave with the next Flush, or when the
-// batch is full; the payload of the action is not kept.
-func (s *Sender) Do(act *balancer.Action) {
+// Do carries out an action. remaining is the time until the deadline of a
+// request that Forward starts, or 0. Datagrams leave with the next Flush, or
+// when the batch is full; the payload of the action is not kept.
+func (s *Sender) Do(act *balancer.Action, remaining time.Duration) {
 	switch act.Op {
 	case balancer.Forward:
-		s.forward(act)
+		s.forward(act, remaining)
 	case balancer.Pass:
 		s.pass(act)
 	case balancer.Reply:
@@ -61,14 +63,14 @@
 	}
 }
 
-func (s *Sender) forward(act *balancer.Action) {
+func (s *Sender) forward(act *balancer.Action, remaining time.Duration) {
 	listener := s.adapter.index.Load().view.Listener(act.Flow.VIP, act.Flow.Protocol)
 	// A packet of one service must never reach another, whatever the core says.
 	if listener == nil || listener.Service != act.Target.Service {
 		s.adapter.Counters.Discard(UnknownTarget)
 		return
 	}
-	h := Header{Flow: act.Flow.Hash(), Deadline: listener.Kind.Deadline}
+	h := Header{Flow: act.Flow.Hash(), Deadline: remaining}
 	s.toTarget(act.Target, &h, act.Payload)
 	s.adapter.Counters.Forwarded.Add(1)
 }
