Add the status command

Cause: nothing showed all VMs on one screen.

Change: bamboowalk status reads /Status of entry and control VMs, names those that do not answer, and shows targets as the newest view of each zone has them.

--- a/cmd/bamboowalk/main.go
+++ b/cmd/bamboowalk/main.go
@@ -22,6 +22,7 @@
 		Entry    entryCommand             `cmd:"" help:"Run an entry VM."`
 		Control  control.Command          `cmd:"" help:"Run a control VM."`
 		Config   operator.ConfigCommand   `cmd:"" help:"Read and write settings."`
+		Status   operator.StatusCommand   `cmd:"" help:"Print one screen about all VMs."`
 		Timeline operator.TimelineCommand `cmd:"" help:"Gather the events of all processes in causal order."`
 		Load     load.Command             `cmd:"" help:"Run experiments in virtual time and compare results."`
 		Demo     demoCommand              `cmd:"" help:"Run entry VMs, callers and targets in one process and check the guarantees."`
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -96,3 +96,14 @@
 		s.Dropped += n
 	}
 }
+
+// CutZones returns the zones that this VM can't reach.
+func (s *Status) CutZones() []string {
+	var out []string
+	for _, z := range s.Zones {
+		if !z.Reachable {
+			out = append(out, string(z.ID))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,160 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"bamboowalk.org/bamboowalk/internal/control"
+	"bamboowalk.org/bamboowalk/internal/entry"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+type (
+	// StatusCommand prints one screen about all VMs.
+	StatusCommand struct {
+		VMs     []string      `arg:"" help:"Base URLs of the entry VMs' HTTP ports."`
+		Servers []string      `help:"Base URLs of the control replicas." env:"BAMBOOWALK_SERVERS"`
+		JSON    bool          `help:"Print JSON."`
+		Timeout time.Duration `help:"Time to wait for the VMs." default:"5s"`
+
+		Out output `kong:"-"`
+	}
+
+	// FleetStatus is what all VMs said.
+	FleetStatus struct {
+		Entry   []entry.Status   `json:"Entry"`
+		Control []control.Status `json:"Control"`
+		// Unreachable lists the VMs that did not answer, with the reason.
+		Unreachable []Unreachable `json:"Unreachable"`
+	}
+
+	// Unreachable is a VM that did not answer.
+	Unreachable struct {
+		URL    string `json:"URL"`
+		Reason string `json:"Reason"`
+	}
+
+	// UnreachableError reports that VMs did not answer.
+	UnreachableError struct {
+		Count int
+	}
+)
+
+// Error names the number of VMs.
+func (e *UnreachableError) Error() string { return fmt.Sprintf("%d VMs did not answer", e.Count) }
+
+// Run prints the status; it returns an UnreachableError where a VM did not
+// answer, after it has printed what the others said.
+func (c *StatusCommand) Run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	s := c.collect(ctx)
+	if c.JSON {
+		if err := json.NewEncoder(c.Out.writer()).Encode(s); err != nil {
+			return fmt.Errorf("status: %w", err)
+		}
+	} else if err := s.print(c.Out); err != nil {
+		return fmt.Errorf("status: %w", err)
+	}
+	if n := len(s.Unreachable); n > 0 {
+		return &UnreachableError{Count: n}
+	}
+	return nil
+}
+
+func (c *StatusCommand) collect(ctx context.Context) *FleetStatus {
+	client := &Client{HTTP: http.DefaultClient}
+	out := new(FleetStatus)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, url := range c.VMs {
+		wg.Go(func() {
+			var s entry.Status
+			err := client.GetJSON(ctx, strings.TrimSuffix(url, "/")+entry.StatusPath, &s)
+			mu.Lock()
+			defer mu.Unlock()
+			out.add(url, err, func() { out.Entry = append(out.Entry, s) })
+		})
+	}
+	for _, url := range c.Servers {
+		wg.Go(func() {
+			var s control.Status
+			err := client.GetJSON(ctx, strings.TrimSuffix(url, "/")+control.StatusPath, &s)
+			mu.Lock()
+			defer mu.Unlock()
+			out.add(url, err, func() { out.Control = append(out.Control, s) })
+		})
+	}
+	wg.Wait()
+	out.sort()
+	return out
+}
+
+func (s *FleetStatus) add(url string, err error, keep func()) {
+	if err != nil {
+		s.Unreachable = append(s.Unreachable, Unreachable{URL: url, Reason: err.Error()})
+		return
+	}
+	keep()
+}
+
+func (s *FleetStatus) sort() {
+	slices.SortFunc(s.Entry, func(a, b entry.Status) int {
+		if c := strings.Compare(string(a.Zone), string(b.Zone)); c != 0 {
+			return c
+		}
+		return strings.Compare(string(a.ID), string(b.ID))
+	})
+	slices.SortFunc(s.Control, func(a, b control.Status) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	slices.SortFunc(s.Unreachable, func(a, b Unreachable) int { return strings.Compare(a.URL, b.URL) })
+}
+
+func (s *FleetStatus) print(out output) error {
+	w := tabwriter.NewWriter(out.writer(), 0, 0, 2, ' ', 0)
+	for _, v := range s.Unreachable {
+		fmt.Fprintf(w, "UNREACHABLE\t%s\t%s\n", v.URL, v.Reason)
+	}
+	if len(s.Control) > 0 {
+		fmt.Fprintf(w, "CONTROL VM\tROLE\tTERM\tCOMMIT\tAPPLIED\tREVISION\n")
+	}
+	for _, v := range s.Control {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", v.ID, v.Role, v.Term, v.Commit, v.Applied, v.Revision)
+	}
+	fmt.Fprintf(w, "ENTRY VM\tZONE\tHEALTH\tEPOCH\tSEALED\tLEASE\tREVISION\tMEMBERS\tFLOWS\tREFUSED\tDROPPED\tUNREACHABLE ZONES\n")
+	for i := range s.Entry {
+		v := &s.Entry[i]
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%v\t%v\t%d\t%d\t%d\t%d\t%d\t%s\n", v.ID, v.Zone, v.Health, v.Epoch, v.Sealed, v.HasLease,
+			v.Revision, len(v.Members), v.Flows, v.Refused, v.Dropped, strings.Join(v.CutZones(), " "))
+	}
+	s.printServices(w)
+	return w.Flush()
+}
+
+// printServices prints each service's targets by zone, state and owner, as the
+// VM with the highest epoch of the zone sees them.
+func (s *FleetStatus) printServices(w *tabwriter.Writer) {
+	newest := make(map[fleet.ZoneID]*entry.Status)
+	for i := range s.Entry {
+		v := &s.Entry[i]
+		if n := newest[v.Zone]; n == nil || v.Epoch > n.Epoch {
+			newest[v.Zone] = v
+		}
+	}
+	fmt.Fprintf(w, "TARGET\tZONE\tSTATE\tOWNER\n")
+	for i := range s.Entry {
+		v := &s.Entry[i]
+		if newest[v.Zone] != v {
+			continue
+		}
+		for _, t := range v.Targets {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", t.ID, v.Zone, t.State, t.Owner)
+		}
+	}
+}
