--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -36,9 +36,10 @@
 
 	// deadline is that of lookups and orders. After a crash the successor may
 	// drop new orders for this time and 2 s, and callers give up after 5 s.
-	deadline = 500 * time.Millisecond
+	deadline = 1500 * time.Millisecond
 
-	readyTimeout = 20 * time.Second
+	// readyTimeout is no guarantee; it ends a run whose parts do not start.
+	readyTimeout = time.Minute
 	// drainLimit is the time after which a leaving target gets no new work.
 	drainLimit = 3 * time.Second
 )
--- a/pkg/placement/map.go
+++ b/pkg/placement/map.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -142,6 +143,17 @@
 	return s
 }
 
+// Ranked returns the first n members in the order of the target's owners.
+func (m *Map) Ranked(t fleet.TargetKey, n int) []fleet.VMID {
+	all := slices.Clone(m.members)
+	slices.SortFunc(all, func(a, b member) int { return cmp.Compare(score(uint64(t), b.hash), score(uint64(t), a.hash)) })
+	out := make([]fleet.VMID, 0, n)
+	for _, each := range all[:min(n, len(all))] {
+		out = append(out, each.id)
+	}
+	return out
+}
+
 // SameChoices reports whether both maps give every flow the same home zone and
 // the same candidates; owners may differ.
 func (m *Map) SameChoices(other *Map) bool {
