Forget decisions after a lease ended or a place was owned elsewhere

Change: after a lease ended, the next epoch makes the VM as ignorant as a new member, and it learns from the others; an exception or return that was noted before the VM last took the place over no longer counts.

--- a/pkg/balancer/ask.go
+++ b/pkg/balancer/ask.go
@@ -48,10 +48,10 @@
 				return b.pass(p, to, p.Header, out)
 			}
 			b.removeFlow(i, Cancelled, now)
-		case e.state == stateReturned:
+		case e.state == stateReturned && !b.isStale(e):
 			// The memory of the return stays: it also keeps a late duplicate of
 			// the offer from being accepted.
-		case p.Start && b.isNewRequest(e, p):
+		case p.Start && b.isNewRequest(e, p) || b.isStale(e):
 			b.removeFlow(i, Completed, now)
 		default:
 			b.report(i, p)
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -53,6 +53,7 @@
 	joiners   []fleet.VMID // new members that lack the history
 	idle      uint32       // longest idle timeout or retention time, in ms
 	refusals  int          // entries in Refused and Returned
+	lapsed    bool         // the lease ended since the last change of epoch
 	sweepAt   int
 	lastSweep time.Time
 	lastTick  time.Time
@@ -90,6 +91,10 @@
 	}
 	b.noteLease(now)
 	old := b.placement
+	if b.lapsed && old != nil && v.Epoch > b.view.Epoch {
+		old = nil
+		b.forgetDecisions(now)
+	}
 	b.view = v
 	b.placement = placement.New(v)
 	b.history.push(old, b.placement, now)
@@ -106,6 +111,29 @@
 func (b *Balancer) noteLease(now time.Time) {
 	if !now.Before(b.leaseUntil) {
 		b.history.unsealed = nil
+		b.lapsed = true
+	}
+}
+
+// forgetDecisions makes a VM whose lease ended know no more than a new member:
+// others may have owned its places and decided otherwise. Where a flow runs
+// stays true.
+func (b *Balancer) forgetDecisions(now time.Time) {
+	b.lapsed = false
+	b.history = history{}
+	b.scan = scan{}
+	for i := range b.flows.entries {
+		switch b.flows.entries[i].state {
+		case stateAway, stateRefused, stateReturned, stateMoved:
+			b.removeFlow(uint32(i), Cancelled, now)
+		}
+	}
+	clear(b.replicas)
+	for i := range b.places.all {
+		pl := &b.places.all[i]
+		if pl.owned {
+			pl.owned, pl.wasOwned, pl.until, pl.out = false, true, tick(now), nil
+		}
 	}
 }
 
--- a/pkg/balancer/flow.go
+++ b/pkg/balancer/flow.go
@@ -11,7 +11,7 @@
 // known handles a packet of a flow that has an entry.
 func (b *Balancer) known(i uint32, p *Packet, now time.Time, out []Action) []Action {
 	e := &b.flows.entries[i]
-	if p.Start && b.isNewRequest(e, p) {
+	if p.Start && b.isNewRequest(e, p) || b.isStale(e) {
 		b.removeFlow(i, Completed, now)
 		return b.unknown(p, now, out)
 	}
@@ -221,6 +221,26 @@
 	return b.unknown(p, now, out)
 }
 
+// isStale reports whether another VM owned the place that binds the entry
+// since the entry was made, and may have decided otherwise.
+func (b *Balancer) isStale(e *flowEntry) bool {
+	var pl *place
+	switch e.state {
+	case stateAway:
+		r := b.cfg.Strategy.Route(b.placement, b.listeners.all[e.listener].Service, e.hash)
+		at, ok := b.places.at[r.First.Key]
+		if !ok {
+			return false
+		}
+		pl = &b.places.all[at]
+	case stateReturned:
+		pl = &b.places.all[e.place]
+	default:
+		return false
+	}
+	return pl.owned && e.epoch < uint32(pl.takenEpoch)
+}
+
 // isElsewhere reports whether the flow was returned or moved by this VM.
 func (e *flowEntry) isElsewhere() bool { return e.state == stateReturned || e.state == stateMoved }
 
--- a/pkg/balancer/handover.go
+++ b/pkg/balancer/handover.go
@@ -340,7 +340,7 @@
 		if e.state == stateMoved && e.epoch >= uint32(epoch) {
 			return
 		}
-		if !e.isElsewhere() && (rec.Instance == 0 || e.instance == rec.Instance) {
+		if !e.isElsewhere() && !b.isStale(e) && (rec.Instance == 0 || e.instance == rec.Instance) {
 			return
 		}
 	}
@@ -354,6 +354,7 @@
 	}
 	e := &b.flows.entries[i]
 	e.until = tick(now) + rec.Remains
+	e.epoch = uint32(b.view.Epoch)
 	switch rec.State {
 	case stateRunning, stateEnding:
 		b.adoptEntry(i, eventAdopt, now)
--- a/pkg/balancer/offer.go
+++ b/pkg/balancer/offer.go
@@ -116,6 +116,7 @@
 	}
 	e := &b.flows.entries[i]
 	b.step(e, eventReturn)
+	e.epoch = uint32(b.view.Epoch)
 	e.until = tick(now) + b.listeners.all[e.listener].retention
 	return b.giveBack(p, out)
 }
@@ -125,6 +126,9 @@
 // starts a new request.
 func (b *Balancer) forgets(i uint32, p *Packet) bool {
 	e := &b.flows.entries[i]
+	if b.isStale(e) {
+		return true
+	}
 	if e.state == stateMoved {
 		return b.vms[e.place] == p.Header.Origin && uint32(p.Header.Epoch) >= e.epoch
 	}
