Keep a target's route for the last packets of a closed connection

Cause: the demo's target forgot the route with the end of the connection, so that callers did not hear of a cancelled request and waited for 5 s. Change: the route stays until the end of the run.

--- a/internal/demo/target.go
+++ b/internal/demo/target.go
@@ -132,8 +132,8 @@
 // finish tells the entry VM that the flow has ended.
 func (t *target) finish(caller netip.AddrPort) {
 	t.mu.Lock()
+	// The entry stays, since the last packets of the connection follow.
 	p := t.peers[caller]
-	delete(t.peers, caller)
 	t.inFlight--
 	t.mu.Unlock()
 	if p == nil {
@@ -160,7 +160,7 @@
 func (t *target) reply(caller netip.AddrPort, build func(vip netip.AddrPort) ([]byte, error)) {
 	t.mu.Lock()
 	p := t.peers[caller]
-	h := geneve.Header{HasLoad: true, Load: geneve.Load{SlotsInUse: uint16(t.inFlight), Connections: uint32(len(t.peers))}}
+	h := geneve.Header{HasLoad: true, Load: geneve.Load{SlotsInUse: uint16(t.inFlight), Connections: uint32(t.inFlight)}}
 	var vip, entry netip.AddrPort
 	if p != nil {
 		vip, entry = p.vip, t.route(p)
