Probe targets and weigh the probes against the owner's own view

Cause: health and load endpoints were not used, and a target that dies while its announcement lease still runs kept getting new flows.

Change: the first three VMs in a target's order probe it and report to its owner over the control port. Start packets that stay without any answer for a second condemn a target at once; reports alone do so unless the probers see most targets fail. A condemned target counts as draining. A VM that took a target over while it was condemned refused its announcements (no transition from Draining on Ready); the first announcement after a change of owner now sets the state anew. A daemon has one shard, since several would each admit as many requests as a target has slots.

--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -239,3 +239,36 @@
 		}
 	})
 }
+
+// Guards against a target whose announcements are refused after its owner
+// changed while health checks spoke against it, and against a verdict that a
+// renewal overrules.
+func TestVerdicts(t *testing.T) {
+	now := start
+	first, second := newRegistry(t, "a", "a"), newRegistry(t, "b", "b")
+	a := announcement(Ready)
+	if _, _, err := first.Announce(a, now); err != nil {
+		t.Fatal(err)
+	}
+	if !first.SetBad(a.id(), true) {
+		t.Error("SetBad: got no change, want one")
+	}
+	if _, _, err := first.Announce(a, now); err != nil {
+		t.Errorf("renewal of a bad target: got %v, want no error", err)
+	}
+	targets := first.Targets()
+	if len(targets) != 1 || targets[0].State != fleet.TargetDraining {
+		t.Fatalf("targets: got %+v, want one that drains", targets)
+	}
+	v := &fleet.View{Zone: "Monza", Targets: targets}
+	if err := v.Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	second.SetView(v, now)
+	if _, _, err := second.Announce(a, now); err != nil {
+		t.Errorf("announcement to the next owner: got %v, want no error", err)
+	}
+	if got := second.Targets(); len(got) != 1 || got[0].State != fleet.TargetReady {
+		t.Errorf("targets of the next owner: got %+v, want one that is ready", got)
+	}
+}
--- a/internal/announce/registry.go
+++ b/internal/announce/registry.go
@@ -76,6 +76,11 @@
 		target  fleet.Target
 		state   chart.State
 		expires time.Time
+		// bad is set while health checks speak against the target.
+		bad bool
+		// adopted is set until the first announcement after a change of owner:
+		// the view's state may be the verdict of the former owner.
+		adopted bool
 	}
 )
 
@@ -164,7 +169,7 @@
 		if r.entries[t.ID.Address] != nil || t.State == fleet.TargetGone || r.Owner(v, t.ID.Key()) != r.Self {
 			continue
 		}
-		r.entries[t.ID.Address] = &entry{target: *t, state: lifecycle.MustState(string(t.State)), expires: now.Add(r.LeaseTime)}
+		r.entries[t.ID.Address] = &entry{target: *t, state: lifecycle.MustState(string(t.State)), expires: now.Add(r.LeaseTime), adopted: true}
 	}
 }
 
@@ -248,10 +253,15 @@
 	if e == nil || e.target.ID != a.id() {
 		return r.create(a, now)
 	}
-	state, err := lifecycle.advance(e.state, a.State)
+	from := e.state
+	if e.adopted {
+		from = lifecycle.Initial()
+	}
+	state, err := lifecycle.advance(from, a.State)
 	if err != nil {
 		return Grant{}, false, fmt.Errorf("announcing %s: %w", e.target.ID, err)
 	}
+	e.adopted = false
 	before := e.target
 	r.update(e, a, state, now)
 	return r.grant(e), e.target != before, nil
@@ -289,6 +299,27 @@
 	}
 }
 
+// SetBad says whether health checks speak against a target. One that they do
+// counts as draining whatever it announces, until they no longer do. It
+// reports whether that changed.
+func (r *Registry) SetBad(id fleet.TargetID, bad bool) bool {
+	e := r.entries[id.Address]
+	if e == nil || e.target.ID != id || e.bad == bad {
+		return false
+	}
+	e.bad = bad
+	return true
+}
+
+// effective is the target as the zone should see it.
+func (e *entry) effective() fleet.Target {
+	t := e.target
+	if e.bad {
+		t.State = fleet.TargetDraining
+	}
+	return t
+}
+
 // Leave ends the lease of a target; it returns an UnknownError where this VM
 // holds none.
 func (r *Registry) Leave(a *Announcement) error {
@@ -322,7 +353,7 @@
 func (r *Registry) Targets() []fleet.Target {
 	out := make([]fleet.Target, 0, len(r.entries))
 	for _, e := range r.entries {
-		out = append(out, e.target)
+		out = append(out, e.effective())
 	}
 	slices.SortFunc(out, func(a, b fleet.Target) int { return a.ID.Address.Compare(b.ID.Address) })
 	return out
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -63,6 +63,8 @@
 		Recorder timeline.Recorder
 		Log      *zap.Logger
 
+		onReport func(from fleet.VMID, body []byte)
+
 		members *membership.Machine
 		leases  *lease.Machine
 		store   *settings.Store
@@ -114,7 +116,10 @@
 	}
 )
 
-var _ entry.Membership = (*Cluster)(nil)
+var (
+	_ entry.Membership = (*Cluster)(nil)
+	_ entry.Messenger  = (*Cluster)(nil)
+)
 
 // New prepares the channels of a cluster whose fields the caller then sets.
 func New() *Cluster {
@@ -222,6 +227,10 @@
 		if m, err := lease.Decode(r.Body); err == nil {
 			c.post(func(now time.Time) { c.sendLease(c.leases.Handle(r.From, m, now), now) })
 		}
+	case peer.Probe:
+		if c.onReport != nil {
+			c.onReport(r.From, r.Body)
+		}
 	case peer.Spread:
 		if m, err := spread.Decode(r.Body); err == nil && m.Datagram() {
 			c.post(func(now time.Time) { c.sendSpread(ctx, c.spread.Handle(r.From, m, now), now) })
@@ -334,6 +343,14 @@
 	return vm.Control, ok
 }
 
+// SendReport sends a probe report to the owner of its target.
+func (c *Cluster) SendReport(to fleet.VMID, body []byte) {
+	c.post(func(now time.Time) { c.send(to, peer.Probe, body, now) })
+}
+
+// OnReport sets the receiver of probe reports; it is called before Run.
+func (c *Cluster) OnReport(receive func(from fleet.VMID, body []byte)) { c.onReport = receive }
+
 // Report states the targets whose leases this VM keeps. One that was stated
 // before and is missing now has left or lost its lease, unless it has another
 // owner.
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -10,6 +10,7 @@
 
 	"bamboowalk.org/bamboowalk/internal/announce"
 	"bamboowalk.org/bamboowalk/internal/entry"
+	"bamboowalk.org/bamboowalk/internal/probe"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/lease"
 	"bamboowalk.org/bamboowalk/pkg/settings"
@@ -29,6 +30,7 @@
 	}
 	if u.View != nil && config.Revision != c.last.revision {
 		u.Services = credentials(config)
+		u.Probes = endpoints(config)
 		c.Log.Info("settings are in force", zap.Uint64("revision", uint64(config.Revision)))
 	}
 	if u.View == nil && !c.leaseChanged(u.LeaseUntil) {
@@ -168,6 +170,17 @@
 	return out
 }
 
+// endpoints returns how each service's targets are probed.
+func endpoints(config *settings.Config) map[fleet.ServiceID]probe.Endpoint {
+	out := make(map[fleet.ServiceID]probe.Endpoint)
+	for id, s := range config.Services {
+		if p := s.Probe; p.Interval > 0 {
+			out[id] = probe.Endpoint{HealthPath: p.HealthPath, LoadPath: p.LoadPath, Port: p.Port, Interval: p.Interval, Timeout: p.Timeout}
+		}
+	}
+	return out
+}
+
 // Status returns what this VM last knew; it is nil before the first view.
 func (c *Cluster) Status() *Status { return c.status.Load() }
 
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"bamboowalk.org/bamboowalk/internal/announce"
 	"bamboowalk.org/bamboowalk/internal/geneve"
+	"bamboowalk.org/bamboowalk/internal/probe"
 	"bamboowalk.org/bamboowalk/pkg/admission"
 	"bamboowalk.org/bamboowalk/pkg/balancer"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
@@ -59,6 +61,7 @@
 		// leaseUntil is the end of the lease in Unix nanoseconds.
 		leaseUntil atomic.Int64
 		client     *http.Client
+		checks     targetHealth
 		// owners is the placement of the latest view, for the control goroutine.
 		owners *placement.Map
 	}
@@ -157,6 +160,11 @@
 		Services:  d.Settings.Services,
 		Owner:     d.owner,
 	}
+	d.checks = targetHealth{
+		prober:   probe.Prober{Self: d.Settings.ID, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
+		running:  make(chan struct{}, maxProbes),
+		received: make(chan received, maxReports),
+	}
 	d.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second}}
 	for i := range d.Settings.Shards {
 		d.shards = append(d.shards, d.newShard(uint8(i)))
@@ -189,6 +197,9 @@
 	}
 	group.Go(func() error { return d.adapter.Receive(ctx, d.deliver) })
 	group.Go(func() error { return d.control(ctx) })
+	if m, ok := d.Membership.(Messenger); ok {
+		m.OnReport(d.receiveReport)
+	}
 	group.Go(func() error { return d.Membership.Run(ctx, d.apply) })
 	group.Go(func() error { return d.serveHTTP(ctx) })
 }
@@ -249,10 +260,17 @@
 			return nil
 		case u := <-d.updates:
 			d.update(ctx, u, time.Now())
+		case r := <-d.checks.received:
+			d.takeReport(r.from, r.report, time.Now())
 		case f := <-d.calls:
 			f(time.Now())
 		case <-tick.C:
-			d.expire(time.Now())
+			now := time.Now()
+			d.expire(now)
+			d.probeTargets(ctx, now)
+			if d.judgeTargets(now) {
+				d.report(d.registry)
+			}
 		}
 	}
 }
@@ -262,10 +280,14 @@
 	if u.Services != nil {
 		d.registry.Services = u.Services
 	}
+	if u.Probes != nil {
+		d.checks.setEndpoints(u.Probes)
+	}
 	if u.View != nil {
 		d.adapter.SetView(u.View, now)
 		d.registry.SetView(u.View, now)
 		d.view.Store(u.View)
+		d.checks.prober.SetView(u.View, d.checks.endpoints, now)
 		d.record(timeline.Event{Kind: timeline.KindView, Name: "Applied", Epoch: u.View.Epoch})
 	}
 	for _, s := range d.shards {
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bamboowalk.org/bamboowalk/internal/announce"
+	"bamboowalk.org/bamboowalk/internal/probe"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
@@ -27,6 +28,9 @@
 		View       *fleet.View
 		LeaseUntil time.Time
 		Services   map[fleet.ServiceID]announce.Credential
+		// Probes says how targets are probed, or is nil where that did not
+		// change.
+		Probes map[fleet.ServiceID]probe.Endpoint
 	}
 
 	// Membership agrees with the other VMs of the zone on views and leases.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -15,7 +15,9 @@
 	defaultLeaseTime    = 10 * time.Second
 	defaultTargetLimit  = 4096
 	defaultAnnounceRate = 20
-	maxShards           = 64
+	// maxShards is 1, since a target's slots are counted in one shard; several
+	// would each admit as many requests as the target has slots.
+	maxShards = 1
 )
 
 type (
--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -40,12 +40,19 @@
 		Stats() balancer.Stats
 	}
 
+	// loadReport is what a target's load endpoint says.
+	loadReport struct {
+		target   fleet.TargetKey
+		inFlight int
+	}
+
 	// shard runs one core in one goroutine.
 	shard struct {
 		core    Core
 		sender  *geneve.Sender
 		in      chan *geneve.Received
 		updates chan Update
+		loads   chan loadReport
 
 		actions  []balancer.Action
 		lastStat time.Time
@@ -53,8 +60,13 @@
 		// pausedUntil is the end of the time in which start packets are dropped
 		// after a pause of the process.
 		pausedUntil time.Time
-		stats       atomic.Pointer[balancer.Stats]
-		alive       atomic.Int64 // Unix nanoseconds of the last tick
+		// contacts and view belong to the shard's goroutine; silent is what other
+		// goroutines see.
+		contacts contacts
+		view     *fleet.View
+		silent   atomic.Pointer[map[fleet.TargetKey]bool]
+		stats    atomic.Pointer[balancer.Stats]
+		alive    atomic.Int64 // Unix nanoseconds of the last tick
 	}
 )
 
@@ -62,9 +74,11 @@
 
 func newShard(sender *geneve.Sender) *shard {
 	s := &shard{
-		sender:  sender,
-		in:      make(chan *geneve.Received, shardQueue),
-		updates: make(chan Update, 16),
+		sender:   sender,
+		in:       make(chan *geneve.Received, shardQueue),
+		updates:  make(chan Update, 16),
+		loads:    make(chan loadReport, 64),
+		contacts: make(contacts),
 	}
 	s.stats.Store(&balancer.Stats{})
 	return s
@@ -79,6 +93,8 @@
 			return
 		case u := <-s.updates:
 			s.update(u, s.clock())
+		case l := <-s.loads:
+			s.core.ReportLoad(l.target, l.inFlight, s.clock())
 		case r := <-s.in:
 			s.burst(r, s.clock())
 		case <-tick.C:
@@ -102,6 +118,7 @@
 func (s *shard) update(u Update, now time.Time) {
 	s.core.SetLease(u.LeaseUntil)
 	if u.View != nil {
+		s.view = u.View
 		s.core.SetView(u.View, now)
 	}
 }
@@ -139,6 +156,7 @@
 		return
 	}
 	s.do(s.core.Handle(r.Packet, now, s.actions[:0]), r.Packet.Start, now)
+	s.watch(r, now)
 }
 
 // do carries out actions and keeps their slice for the next call. start says
@@ -163,5 +181,7 @@
 		s.lastStat = now
 		stats := s.core.Stats()
 		s.stats.Store(&stats)
+		silent := s.contacts.silent(now)
+		s.silent.Store(&silent)
 	}
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -14,6 +14,7 @@
 	Membership Channel = iota + 1
 	Lease
 	Spread
+	Probe
 	channels
 )
 
@@ -51,6 +52,8 @@
 		return "Lease"
 	case Spread:
 		return "Spread"
+	case Probe:
+		return "Probe"
 	}
 	return fmt.Sprintf("Channel(%d)", uint8(c))
 }
--- a/internal/peer/socket.go
+++ b/internal/peer/socket.go
@@ -106,7 +106,7 @@
 func (s *Socket) Counters(c Channel) *Counters { return &s.counters[c] }
 
 // Channels returns all channels.
-func Channels() []Channel { return []Channel{Membership, Lease, Spread} }
+func Channels() []Channel { return []Channel{Membership, Lease, Spread, Probe} }
 
 // Discarded returns the datagrams that were invalid, could not be sent, or
 // were too large to send.
--- /dev/null
+++ b/internal/probe/probe_test.go
@@ -0,0 +1,133 @@
+package probe
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+const key = fleet.TargetKey(7)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against verdicts that follow one late or lying prober, that condemn
+// most targets at once, or that go against what the owner sees itself. Each
+// step is a round of reports, one letter a prober: h healthy, f failing, F
+// failing like most of what it probes, . no report; u and a set whether the
+// owner's starts stay unanswered. The verdict after each step is g or b.
+func TestJudge(t *testing.T) {
+	tests := []struct{ name, steps, want string }{
+		{"healthy", "hhh hhh hhh", "g g g"},
+		{"one failure does not count", "fff hhh fff hhh", "g g g g"},
+		{"two failures of two probers", "ffh ffh ffh", "g b b"},
+		{"one prober alone", "fhh fhh fhh", "g g g"},
+		{"recovery", "fff fff hhh hhh", "g b b g"},
+		{"stale reports", "fff fff ... ... ... ... ...", "g b b b b b g"},
+		{"most targets fail at once", "FFF FFF FFF", "g g g"},
+		{"the owner sees no answers", "hhhu hhh hhh", "b b b"},
+		{"no answers and doubted probers", "FFFu FFF", "b b"},
+		{"trial after the first interval", "hhhu hhha hhh hhh hhh hhh hhh", "b b b b b g g"},
+	}
+	for _, tt := range tests {
+		j := &Judge{Interval: time.Second}
+		now := start
+		var got []string
+		for _, step := range strings.Fields(tt.steps) {
+			feed(j, step, now)
+			verdict := "g"
+			if bad, _ := j.Bad(key, now); bad {
+				verdict = "b"
+			}
+			got = append(got, verdict)
+			now = now.Add(time.Second)
+		}
+		if got := strings.Join(got, " "); got != tt.want {
+			t.Errorf("%s: got %s, want %s", tt.name, got, tt.want)
+		}
+	}
+}
+
+func feed(j *Judge, step string, now time.Time) {
+	for i, c := range step {
+		from := fleet.VMID("prober-" + string(rune('0'+i)))
+		switch c {
+		case 'h':
+			j.Note(from, Report{Target: key, Healthy: true, Probed: 8, Failing: 1}, now)
+		case 'f':
+			j.Note(from, Report{Target: key, Probed: 8, Failing: 1}, now)
+		case 'F':
+			j.Note(from, Report{Target: key, Probed: 8, Failing: 7}, now)
+		case 'u':
+			j.Observe(key, true)
+		case 'a':
+			j.Observe(key, false)
+		}
+	}
+}
+
+// Guards against targets that nobody probes, or that the whole zone probes.
+func TestProbersOfTarget(t *testing.T) {
+	id := fleet.TargetID{Service: "Lutto/Counter", Address: netip.MustParseAddrPort("192.0.2.1:80"), Incarnation: 1}
+	endpoints := map[fleet.ServiceID]Endpoint{"Lutto/Counter": {HealthPath: "/", Interval: time.Second, Timeout: time.Second}}
+	members := []fleet.VM{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}, {ID: "f"}}
+	probers := 0
+	for i, vm := range members {
+		v := &fleet.View{Zone: "Monza", Members: append([]fleet.VM(nil), members...), Targets: []fleet.Target{{ID: id, Zone: "Monza", Slots: 3, ConnectionLimit: 10, State: fleet.TargetReady}}}
+		if err := v.Freeze(); err != nil {
+			t.Fatal(err)
+		}
+		p := Prober{Self: vm.ID, Rand: rand.New(rand.NewPCG(uint64(i), 1))}
+		p.SetView(v, endpoints, start)
+		due := p.Due(start.Add(time.Second))
+		if len(due) == 1 && due[0].Owner != "" && len(p.Due(start.Add(time.Second))) == 0 {
+			probers++
+		}
+	}
+	if probers != Probers {
+		t.Errorf("got %d VMs that probe the target once, want %d", probers, Probers)
+	}
+}
+
+// Guards against an endpoint that hangs, fails or lies about its format and
+// stops the prober or counts as healthy.
+func TestDo(t *testing.T) {
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/hang":
+			<-release
+		case "/fail":
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case "/load":
+			_, _ = w.Write([]byte(`{"SlotsInUse": 2}`))
+		case "/garbage":
+			_, _ = w.Write([]byte(strings.Repeat("x", 2*maxLoadBody)))
+		}
+	}))
+	defer server.Close()
+	defer close(release)
+	id := fleet.TargetID{Address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
+	tests := []struct {
+		health, load   string
+		healthy, known bool
+	}{
+		{"/ok", "/load", true, true},
+		{"/ok", "/garbage", true, false},
+		{"/fail", "/load", false, false},
+		{"/hang", "/load", false, false},
+		{"", "/load", true, true},
+	}
+	for _, tt := range tests {
+		r := Do(context.Background(), server.Client(), Task{Target: id, Endpoint: Endpoint{HealthPath: tt.health, LoadPath: tt.load, Timeout: 200 * time.Millisecond}})
+		if r.Healthy != tt.healthy || r.HasLoad != tt.known || tt.known && r.InFlight != 2 {
+			t.Errorf("%s, %s: got %+v, want healthy %v, load %v", tt.health, tt.load, r, tt.healthy, tt.known)
+		}
+	}
+}
