Transfer full views without waiting between windows

Cause: a new VM got a chain of all deltas one by one, since reordered deltas were dropped, and asked for the rest every 100 ms.

Change: deltas that arrive early wait for their predecessor; a long chain is replaced by the full view; a complete window of chunks asks for the next one at once. Service ids in views are bounded, so that each target fits into a datagram.

--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -186,10 +186,28 @@
 	for i := range msg.Deltas {
 		d := &msg.Deltas[i]
 		m.note(d.Epoch, from, now)
+		if d.Base > m.view.Epoch && len(m.early) < fetchWindow*fetchWindow {
+			m.early[d.Base] = d
+			continue
+		}
 		if d.Base == m.view.Epoch {
 			m.adopt(m.view.apply(d, m.cfg.Zone), d, now)
 		}
 	}
+	m.applyEarly(now)
+}
+
+// applyEarly takes over deltas that arrived before their predecessor.
+func (m *Machine) applyEarly(now time.Time) {
+	for d := m.early[m.view.Epoch]; d != nil; d = m.early[m.view.Epoch] {
+		delete(m.early, d.Base)
+		m.adopt(m.view.apply(d, m.cfg.Zone), d, now)
+	}
+	for base := range m.early {
+		if base < m.view.Epoch {
+			delete(m.early, base)
+		}
+	}
 }
 
 func (m *Machine) fetch(from fleet.VMID, now time.Time) {
@@ -210,17 +228,21 @@
 				break
 			}
 		}
+		a.end = int(msg.Part) + fetchWindow
 	}
 	m.send(from, msg)
 }
 
-// handleFetch sends deltas if they are known, else parts of the full view.
+// handleFetch sends deltas if few datagrams hold them, else parts of the full
+// view.
 func (m *Machine) handleFetch(from fleet.VMID, msg *Message) {
 	if msg.Epoch >= m.view.Epoch {
 		return
 	}
-	if chain := m.chain(msg.Epoch); len(chain) > 0 {
-		m.sendChain(from, chain)
+	if packs := pack(m.chain(msg.Epoch)); len(packs) > 0 && len(packs) <= fetchWindow {
+		for _, p := range packs {
+			m.send(from, Message{Kind: Deltas, Deltas: p})
+		}
 		return
 	}
 	parts := m.snapshot(msg.Known)
@@ -247,15 +269,13 @@
 			return nil
 		}
 	}
-	if len(m.history)-i > fetchWindow && len(m.view.Members)+len(m.view.Targets) < 100 {
-		return nil // the full view is smaller
-	}
 	return m.history[i:]
 }
 
-func (m *Machine) sendChain(to fleet.VMID, chain []Delta) {
-	sent := 0
-	for len(chain) > 0 && sent < fetchWindow {
+// pack groups consecutive deltas by what one datagram holds.
+func pack(chain []Delta) [][]Delta {
+	var out [][]Delta
+	for len(chain) > 0 {
 		n, size := 1, encodedSize(chain[0])
 		for n < len(chain) {
 			if size += encodedSize(chain[n]); size > deltaBudget {
@@ -263,10 +283,10 @@
 			}
 			n++
 		}
-		m.send(to, Message{Kind: Deltas, Deltas: chain[:n]})
+		out = append(out, chain[:n])
 		chain = chain[n:]
-		sent++
 	}
+	return out
 }
 
 func (m *Machine) handleChunk(from fleet.VMID, msg *Message, now time.Time) {
@@ -279,7 +299,7 @@
 		if a.epoch > m.view.Epoch && now.Sub(a.at) < 3*fetchRetry {
 			return
 		}
-		*a = assembly{epoch: msg.Epoch, parts: make([]*Delta, msg.Parts)}
+		*a = assembly{epoch: msg.Epoch, parts: make([]*Delta, msg.Parts), end: fetchWindow}
 	}
 	a.parts[msg.Part], a.at = &msg.Deltas[0], now
 	missing := slices.Index(a.parts, nil)
@@ -287,8 +307,8 @@
 		m.assemble(now)
 		return
 	}
-	// The last part of a window asks for the next one at once.
-	if int(msg.Part)+1 == missing && int(msg.Part)%fetchWindow == fetchWindow-1 {
+	// A complete window asks for the next one at once.
+	if missing >= a.end {
 		m.fetch(from, now)
 	}
 }
@@ -300,14 +320,19 @@
 	}
 	m.assembly = assembly{}
 	m.adopt(v, nil, now)
+	m.applyEarly(now)
 }
 
 // SetTarget states what the view should say about a target that this VM owns;
-// it is reported until a view shows it. State Gone removes the target.
+// it is reported until a view shows it. State Gone removes the target. Only one
+// VM may state a target at a time; see ForgetTarget. It returns a FieldError.
 func (m *Machine) SetTarget(t fleet.Target) error {
 	if err := t.Validate(); err != nil {
 		return err
 	}
+	if len(t.ID.Service) > maxService {
+		return invalid("Target", "ID.Service", "must have at most 128 bytes")
+	}
 	m.wanted[t.ID.Key()] = t
 	return nil
 }
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -105,6 +105,7 @@
 		fetchAt    time.Time
 		assembly   assembly
 		history    []Delta
+		early      map[fleet.Epoch]*Delta // by Base, which is not adopted yet
 		wanted     map[fleet.TargetKey]fleet.Target
 		nextReport time.Time
 
@@ -116,6 +117,7 @@
 	assembly struct {
 		epoch fleet.Epoch
 		parts []*Delta
+		end   int // of the window that was asked for
 		at    time.Time
 	}
 )
@@ -142,7 +144,8 @@
 	}
 	m := &Machine{
 		cfg: cfg, self: cfg.Self.ID, born: now, view: &View{}, nextRenew: now,
-		granted: make(map[fleet.VMID]time.Time), answered: make(map[fleet.VMID]time.Time), wanted: make(map[fleet.TargetKey]fleet.Target),
+		granted: make(map[fleet.VMID]time.Time), answered: make(map[fleet.VMID]time.Time),
+		early: make(map[fleet.Epoch]*Delta), wanted: make(map[fleet.TargetKey]fleet.Target),
 	}
 	m.acceptor.reset()
 	m.proposer.pending = make(map[fleet.TargetKey]change)
--- a/pkg/lease/message.go
+++ b/pkg/lease/message.go
@@ -52,6 +52,7 @@
 	MaxCouncil  = 7
 	maxID       = 64
 	maxServices = 128
+	maxService  = 128 // bytes
 )
 
 type (
@@ -202,8 +203,8 @@
 		return invalid("Delta", "Services", "are too many")
 	}
 	for _, s := range d.Services {
-		if s == "" {
-			return invalid("Delta", "Services", "must not be empty")
+		if s == "" || len(s) > maxService {
+			return invalid("Delta", "Services", "must have 1 to 128 bytes")
 		}
 	}
 	for _, m := range d.Join {
--- a/pkg/lease/proposer.go
+++ b/pkg/lease/proposer.go
@@ -195,6 +195,7 @@
 	for _, v := range voters {
 		b.vote(v)
 	}
+	b.take(encodedSize(voters)) // the message repeats them
 	m.addMembers(b)
 	m.start(&proposal{epoch: epoch, value: &b.delta, voters: voters}, now)
 }
