--- a/pkg/admission/adaptive.go
+++ b/pkg/admission/adaptive.go
@@ -83,7 +83,10 @@
 	c := run.class
 	switch result {
 	case Completed:
-		c.service += serviceGain * (used - c.service)
+		// The first observations count in full, since the assumed service
+		// time may be far off.
+		gain := max(serviceGain, 1/float64(c.samples+1))
+		c.service += gain * (used - c.service)
 		l.observeDelay(c, used)
 		l.adapt(now)
 	case Shed:
