--- a/pkg/balancer/core_test.go
+++ b/pkg/balancer/core_test.go
@@ -149,6 +149,37 @@
 	}
 }
 
+// Guards against a late duplicate of an offer that is accepted after the offer
+// was returned and the flow asked about (found with seeds 304 and 585).
+func TestReturnedOfferStaysReturned(t *testing.T) {
+	b, v, now := lone(t, Config{NewLimiter: func(fleet.Target, []fleet.Kind, time.Time) Limiter {
+		return &slotLimiter{inside: map[fleet.FlowKey]bool{}, slots: 0}
+	}}, 1)
+	target := v.Targets[0].ID.Key()
+	p := Packet{Flow: testFlow(&orders, 1), Source: FromPeer, Start: true, Instance: 1}
+	for i, mode := range []Mode{ToSecond, Ask, ToSecond} {
+		p.Header = PassHeader{Mode: mode, Hops: 1, Step: 1, Epoch: 1, Target: target, Origin: "other"}
+		want := map[Mode]Mode{ToSecond: Returned, Ask: NotHere}[mode]
+		if a := only(t, b.Handle(p, now, nil), Pass); a.Header.Mode != want {
+			t.Errorf("packet %d: got mode %d, want %d", i, a.Header.Mode, want)
+		}
+		b.places.all[b.places.owned[0]].limiter.(*slotLimiter).slots = i
+	}
+}
+
+// Guards against an order of a reused port that makes a late duplicate of the
+// earlier order look new (found with seeds 194, 419 and 447).
+func TestReusedPortOfOrder(t *testing.T) {
+	b, _, now := lone(t, Config{}, 2)
+	p := Packet{Flow: testFlow(&orders, 1), Source: FromFabric, Start: true, Instance: 1}
+	at := only(t, b.Handle(p, now, nil), Forward).Target
+	b.Handle(Packet{Flow: p.Flow, Source: FromTarget, Target: at, End: Done}, now, nil)
+	for _, instance := range []uint32{2, 1} {
+		p.Instance = instance
+		only(t, b.Handle(p, now.Add(time.Second), nil), Drop)
+	}
+}
+
 // Guards against a request that holds its slot after its deadline.
 func TestDeadlineCancels(t *testing.T) {
 	b, _, now := lone(t, Config{}, 1)
