Add benchmarks of a lease renewal and a probe

Cause: the fake network hides the CPU time of one message.

Change: BenchmarkRequest and BenchmarkPing, with decoding and encoding.

--- a/pkg/lease/measure_test.go
+++ b/pkg/lease/measure_test.go
@@ -117,3 +117,28 @@
 	z.t.Logf("n %3d scale %-5v %-5s: council sent %.1f sent+received %.1f KB/s, others sent %.1f sent+received %.1f KB/s (highest VM), cpu %.2f %% of a core per VM with network",
 		n, scale, what, top(sent[0]), top(both[0]), top(sent[1]), top(both[1]), cpu)
 }
+
+// BenchmarkRequest measures a council member's work for one lease renewal,
+// with decoding and encoding.
+func BenchmarkRequest(b *testing.B) {
+	z := newZone(b, 1, 9)
+	z.startAll()
+	z.mustSettle(10*time.Second, "start")
+	v, now := z.vms[z.ids[0]], z.net.Clock(z.ids[0])
+	req := lease.Message{Kind: lease.Request, Revision: 1, Seq: 70000, Epoch: v.lease.View().Epoch, Incarnation: 9}
+	data, err := req.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		m, err := lease.Decode(data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for _, e := range v.lease.Handle(z.ids[8], m, now) {
+			if _, err := e.Message.Encode(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+}
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -452,3 +452,22 @@
 			n, float64(sum)/float64(n)/20e3, float64(top)/20e3, cpu.Seconds()/20/float64(n)*100, mean, worst)
 	}
 }
+
+// BenchmarkPing measures the work for one probe at a VM that knows 180 VMs,
+// with decoding and encoding.
+func BenchmarkPing(b *testing.B) {
+	f := newFleet(b, 1, 180, "monza")
+	f.startAll()
+	f.net.RunUntil(20*time.Second, f.allAlive)
+	f.net.Run(20 * time.Second)
+	id := f.ids["monza"][0]
+	msg := membership.Message{Kind: membership.Ping, Seq: 70000, Incarnation: 5}
+	data, err := msg.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	now := f.net.Clock(id)
+	for b.Loop() {
+		f.nodes[id].Handle(f.ids["monza"][4], data, now)
+	}
+}
