Keep decisions across a change of view, and settle guessed owners

Cause: with real leases a VM has none in a new epoch until the council has granted it there. A VM whose first view already had targets also waited up to the idle timeout for records of an owner that never was.

Change: decisions are forgotten only where epochs were missed without a lease; a VM that sees each epoch knows their owners. A supposed former owner that has begun no handover in a sealed epoch is given up after 5 s. The demo begins its traffic after that time.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -17,6 +17,7 @@
 	"bamboowalk.org/bamboowalk/internal/cluster"
 	"bamboowalk.org/bamboowalk/internal/entry"
 	"bamboowalk.org/bamboowalk/internal/peer"
+	"bamboowalk.org/bamboowalk/pkg/balancer"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/membership"
 	"bamboowalk.org/bamboowalk/pkg/placement"
@@ -384,7 +385,9 @@
 			return err
 		}
 	}
-	return nil
+	// VMs that have just formed a zone do not know what earlier lives of the
+	// zone decided, and drop orders until late duplicates of those are gone.
+	return sleep(ctx, max(deadline+2*time.Second, balancer.PredecessorTimeout)+time.Second)
 }
 
 // ready reports whether all VMs have a sealed view of all VMs and targets of
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -21,6 +21,10 @@
 	// in which the sockets are emptied, start packets are dropped.
 	pauseLimit = time.Second
 	pauseQuiet = 200 * time.Millisecond
+	// PredecessorTimeout is the time after which a VM that has just started
+	// takes it that a target had no owner before. Until then it can't know what
+	// was decided about flows that it does not hold.
+	PredecessorTimeout = 5 * time.Second
 )
 
 // Balancer decides about packets. One goroutine uses it.
@@ -92,10 +96,13 @@
 	}
 	b.noteLease(now)
 	old := b.placement
-	if b.lapsed && old != nil && v.Epoch > b.view.Epoch {
+	if b.lapsed && old != nil && v.Epoch > b.view.Epoch+1 {
 		old = nil
 		b.forgetDecisions(now)
 	}
+	if v.Epoch > b.viewEpoch() {
+		b.lapsed = false
+	}
 	b.view = v
 	b.placement = placement.New(v)
 	b.history.push(old, b.placement, now)
@@ -116,9 +123,17 @@
 	}
 }
 
-// forgetDecisions makes a VM whose lease ended know no more than a new member:
-// others may have owned its places and decided otherwise. Where a flow runs
-// stays true.
+func (b *Balancer) viewEpoch() fleet.Epoch {
+	if b.view == nil {
+		return 0
+	}
+	return b.view.Epoch
+}
+
+// forgetDecisions makes a VM that had no lease, and missed epochs, know no more
+// than a new member: in those epochs others may have owned its places and
+// decided otherwise. Where a flow runs stays true. A VM that sees each epoch
+// knows their owners, also while it waits for its lease in the next epoch.
 func (b *Balancer) forgetDecisions(now time.Time) {
 	b.lapsed = false
 	b.history = history{}
@@ -252,6 +267,7 @@
 	if now.Sub(b.lastSweep) >= sweepInterval/sweepSteps {
 		b.lastSweep = now
 		out = b.sweep(now, out)
+		b.settleGuesses(now)
 	}
 	return b.sendOutbox(now, out)
 }
--- a/pkg/balancer/core_test.go
+++ b/pkg/balancer/core_test.go
@@ -45,6 +45,62 @@
 	return actions[0]
 }
 
+// next returns the view of a later epoch with the same targets and listeners.
+func next(t testing.TB, v *fleet.View, epochs fleet.Epoch, ids ...fleet.VMID) *fleet.View {
+	t.Helper()
+	out := &fleet.View{Zone: v.Zone, Epoch: v.Epoch + epochs, Sealed: true, Members: members(ids), Listeners: v.Listeners, Targets: v.Targets}
+	if err := out.Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// Guards against a VM that drops orders after each change of view, because it
+// waits for its lease in the new epoch, and against one that trusts its
+// memory after it missed epochs without a lease.
+func TestMissedEpochs(t *testing.T) {
+	for epochs, want := range map[fleet.Epoch]Op{1: Forward, 2: Drop} {
+		b, v, now := lone(t, Config{}, 3)
+		b.SetLease(time.Time{})
+		b.SetView(next(t, v, epochs, "vm"), now)
+		b.SetLease(now.Add(time.Hour))
+		p := Packet{Flow: testFlow(&orders, 1), Source: FromFabric, Start: true, Instance: 1}
+		if a := only(t, b.Handle(p, now, nil), want); want == Drop && a.Cause != CauseUnknownResult {
+			t.Errorf("%d epochs: got cause %s, want UnknownResult", epochs, a.Cause)
+		}
+	}
+}
+
+// Guards against a VM whose first view has targets already and that waits for
+// ever for the records of an owner that there never was.
+func TestGuessedPredecessor(t *testing.T) {
+	b, v, now := lone(t, Config{}, 3)
+	fresh := New(b.cfg)
+	fresh.SetLease(now.Add(time.Hour))
+	fresh.SetView(next(t, v, 7, "vm", "other"), now)
+	guesses := func() (n int) {
+		for _, at := range fresh.places.owned {
+			if fresh.places.all[at].pending == "other" {
+				n++
+			}
+		}
+		return n
+	}
+	if guesses() == 0 {
+		t.Fatal("got no target with a supposed former owner, want some")
+	}
+	fresh.Tick(now.Add(PredecessorTimeout/2), nil)
+	if guesses() == 0 {
+		t.Error("got no supposed former owner before the timeout, want some")
+	}
+	for i := range 5 {
+		fresh.Tick(now.Add(PredecessorTimeout+time.Duration(i+1)*sweepInterval), nil)
+	}
+	if got := guesses(); got != 0 {
+		t.Errorf("got %d supposed former owners after the timeout, want none", got)
+	}
+}
+
 // Guards against answers of another target, or without a flow, that reach a
 // caller.
 func TestForeignAndLateAnswers(t *testing.T) {
--- a/pkg/balancer/place.go
+++ b/pkg/balancer/place.go
@@ -49,6 +49,8 @@
 		inherited  bool
 		// pending is a predecessor that lives and has not handed all over.
 		pending fleet.VMID
+		// guessed is set while pending is inferred and not known.
+		guessed bool
 		// lost is set where the last predecessor left without handing all over,
 		// at the time lostAt; standby where this VM was its standby.
 		lost     bool
@@ -222,7 +224,7 @@
 
 func (b *Balancer) gainPlace(pl *place, old *placement.Map, now time.Time) {
 	pl.owned, pl.sync, pl.taken = true, true, tick(now)
-	pl.inherited, pl.pending, pl.lost, pl.standby = false, "", false, false
+	pl.inherited, pl.pending, pl.guessed, pl.lost, pl.standby = false, "", false, false, false
 	pl.in, pl.out, pl.movedTo = transferIn{}, nil, 0
 	pl.takenEpoch = b.view.Epoch
 	prev := b.predecessor(pl, old)
@@ -231,7 +233,7 @@
 	}
 	pl.inherited = true
 	if b.view.Member(prev) != nil {
-		pl.pending = prev
+		pl.pending, pl.guessed = prev, old == nil
 	} else {
 		pl.lost, pl.lostAt, pl.lostFrom = true, tick(now), prev
 		pl.standby = old != nil && old.Standby(pl.key) == b.self
@@ -239,6 +241,25 @@
 	b.record(timeline.KindOwner, "Taken", timeline.Event{Target: pl.id.String(), VM: prev}, now)
 }
 
+// settleGuesses gives up predecessors that were only inferred and sent no
+// record: a VM whose first view already had targets can't know whether they
+// had another owner before. In a sealed epoch the supposed predecessor has the
+// view, and would have begun to hand over.
+func (b *Balancer) settleGuesses(now time.Time) {
+	if !b.view.Sealed {
+		return
+	}
+	for _, at := range b.places.owned {
+		pl := &b.places.all[at]
+		if pl.guessed && passed(tick(now), pl.taken+ticks(PredecessorTimeout)) {
+			pl.guessed = false
+			if pl.in.from != pl.pending {
+				pl.pending, pl.inherited = "", false
+			}
+		}
+	}
+}
+
 // predecessor returns the VM that owned the place before, or "" for a new
 // target. A VM without an earlier view can't know it; where it joined alone,
 // the standby owned the place before.
