Survey members and zones ten times a second

Cause: each received control message cloned and sorted the members of all zones, which at 2,900 VMs costs more than the budget of a daemon; and each change of free slots elsewhere made a new view.

Change: members and zones are looked at every 100 ms, and free slots count by their magnitude.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -26,6 +26,9 @@
 const (
 	// tickInterval bounds how late a timer of a protocol fires.
 	tickInterval = 20 * time.Millisecond
+	// surveyInterval is the time between two looks at all members and zones,
+	// which costs in proportion to the fleet.
+	surveyInterval = 100 * time.Millisecond
 	// queueLength bounds the received messages that wait for the goroutine.
 	queueLength = 1024
 	// leaseStep is the least extension of a lease that the traffic side is
@@ -78,6 +81,13 @@
 		last    published
 		// connected is when a majority of the council last answered.
 		connected time.Time
+		// surveyed is the time of the last survey, and isolated and zones what
+		// it saw.
+		surveyed time.Time
+		isolated []fleet.VM
+		zones    []fleet.Zone
+		// zonesSeen rises with each change of zones.
+		zonesSeen uint64
 		status    atomic.Pointer[Status]
 		current   atomic.Pointer[fleet.View]
 		// reported and leaving come from goroutines that must not wait for this
@@ -93,6 +103,7 @@
 		revision   fleet.Revision
 		generation uint64
 		zones      []fleet.Zone
+		zonesSeen  uint64
 		members    []fleet.VM // of an isolated VM, else nil
 		view       *fleet.View
 		until      time.Time
@@ -171,8 +182,8 @@
 			f(time.Now())
 		case now := <-tick.C:
 			c.tick(ctx, now)
+			c.publish(now)
 		}
-		c.publish(time.Now())
 	}
 }
 
@@ -183,13 +194,26 @@
 	if c.leaving.Load() {
 		c.members.Leave(now)
 	}
+	if now.Sub(c.surveyed) >= surveyInterval {
+		c.surveyed = now
+		c.survey(now)
+	}
+	c.sendMembership(c.members.Tick(now), now)
+	c.sendLease(c.leases.Tick(now), now)
+	c.sendSpread(ctx, c.spread.Tick(now), now)
+}
+
+// survey tells the state machines of each other.
+func (c *Cluster) survey(now time.Time) {
 	c.members.SetFit(c.leases.Connected(now))
 	c.members.SetEpoch(c.leases.View().Epoch)
 	c.leases.SetCandidates(c.members.Candidates(now))
 	c.setPeers(now)
-	c.sendMembership(c.members.Tick(now), now)
-	c.sendLease(c.leases.Tick(now), now)
-	c.sendSpread(ctx, c.spread.Tick(now), now)
+	c.isolated = c.reachable(now)
+	if zones := c.seeZones(c.store.Config(), c.isolated, now); !sameZones(zones, c.zones) {
+		c.zones = zones
+		c.zonesSeen++
+	}
 }
 
 // setPeers tells the distribution of settings which VMs live.
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -1,7 +1,8 @@
 package cluster
 
 import (
-	"reflect"
+	"maps"
+	"math/bits"
 	"slices"
 	"strings"
 	"time"
@@ -22,10 +23,9 @@
 	config := c.store.Config()
 	c.setCouncil(config, now)
 	v := c.leases.View()
-	members := c.reachable(now)
-	zones := c.zones(config, members, now)
+	members, zones := c.isolated, c.zones
 	u := entry.Update{LeaseUntil: c.leases.LeaseUntil(now)}
-	if v.Epoch != 0 && c.changed(v, config, zones, members) {
+	if v.Epoch != 0 && c.changed(v, config, members) {
 		u.View = c.buildView(zones, members, config, now)
 	}
 	if u.View != nil && config.Revision != c.last.revision {
@@ -65,9 +65,9 @@
 	return sortedVMs(vms)
 }
 
-func (c *Cluster) changed(v *lease.View, config *settings.Config, zones []fleet.Zone, members []fleet.VM) bool {
+func (c *Cluster) changed(v *lease.View, config *settings.Config, members []fleet.VM) bool {
 	return !slices.Equal(members, c.last.members) || v.Epoch != c.last.epoch || c.leases.Sealed() != c.last.sealed ||
-		config.Revision != c.last.revision || !reflect.DeepEqual(zones, c.last.zones)
+		config.Revision != c.last.revision || c.zonesSeen != c.last.zonesSeen
 }
 
 func (c *Cluster) leaseChanged(until time.Time) bool {
@@ -78,7 +78,7 @@
 }
 
 func (c *Cluster) remember(built *fleet.View, v *lease.View, config *settings.Config, zones []fleet.Zone, members []fleet.VM) {
-	c.last.members = members
+	c.last.members, c.last.zonesSeen = members, c.zonesSeen
 	c.last.epoch, c.last.sealed = v.Epoch, c.leases.Sealed()
 	c.last.revision, c.last.zones, c.last.view = config.Revision, zones, built
 	c.current.Store(built)
@@ -120,8 +120,8 @@
 	c.leases.SetCouncil(lease.Council{Revision: z.CouncilRevision, Members: z.Council}, now)
 }
 
-// zones joins what the settings say about zones with what membership sees.
-func (c *Cluster) zones(config *settings.Config, members []fleet.VM, now time.Time) []fleet.Zone {
+// seeZones joins what the settings say about zones with what membership sees.
+func (c *Cluster) seeZones(config *settings.Config, members []fleet.VM, now time.Time) []fleet.Zone {
 	seen := c.members.Zones(now)
 	out := make([]fleet.Zone, 0, len(config.Zones))
 	for i := range config.Zones {
@@ -143,6 +143,16 @@
 	return out
 }
 
+// sameZones reports whether a new view is not worth its cost: free slots of
+// other zones change all the time, so that only their magnitude counts.
+func sameZones(a, b []fleet.Zone) bool {
+	return slices.EqualFunc(a, b, func(x, y fleet.Zone) bool {
+		return x.ID == y.ID && x.Weight == y.Weight && x.State == y.State && x.Reachable == y.Reachable &&
+			slices.Equal(x.Members, y.Members) && slices.Equal(x.Services, y.Services) &&
+			maps.EqualFunc(x.Spare, y.Spare, func(n, m int) bool { return bits.Len(uint(n)) == bits.Len(uint(m)) })
+	})
+}
+
 func (c *Cluster) ownMembers() []fleet.VM {
 	var vms []fleet.VM
 	for _, m := range c.leases.View().Members {
