Tell a given-back start packet from a bare RequestShed

Cause: the core retries the payload of a shed request, and the adapter gave it the target's bare packet, so that a response would have gone to a target as a request. An end without payload could not be passed between entry VMs. Change: the direction of the inner packet tells a start packet that is given back; a bare one has no payload. Passes and refusals without payload carry headers that name the flow. Conclusion: found by reading the core's rule for Shed.

--- a/internal/geneve/adapter.go
+++ b/internal/geneve/adapter.go
@@ -257,12 +257,21 @@
 	}
 	p := &r.Packet
 	p.Flow = fleet.FlowKey{Caller: in.Source, VIP: in.Destination, Protocol: in.Protocol}
-	if response {
+	// With RequestShed a target may give the caller's start packet back.
+	givenBack := response && x.view.Listener(p.Flow.VIP, p.Flow.Protocol) != nil
+	if response && !givenBack {
 		p.Flow.Caller, p.Flow.VIP = in.Destination, in.Source
 	}
 	if x.view.Listener(p.Flow.VIP, p.Flow.Protocol) == nil {
 		return &DecodeError{Reason: UnknownListener}
 	}
+	shed := r.Header.Shed || p.Header.Mode == balancer.Answer && balancer.End(p.Header.Step) == balancer.Shed
+	if givenBack && !shed {
+		return &DecodeError{Reason: BadInner}
+	}
+	if shed && !givenBack {
+		p.Payload = nil
+	}
 	if !response {
 		p.Start, p.Instance = in.Start, in.Instance
 	}
--- a/internal/geneve/doc.go
+++ b/internal/geneve/doc.go
@@ -10,6 +10,12 @@
 // target; all other Geneve datagrams are from the fabric, and their inner
 // destination must be a listener.
 //
+// The O bit of the Geneve header marks control packets: their inner headers
+// name a flow, and nothing is delivered. A target's RequestDone, RequestShed
+// and bare load reports, and Cancel towards targets, are such packets. The
+// options have class 0xffb0, from the experimental range, and none is critical.
+// A RequestShed that carries the start packet may be retried.
+//
 // gopacket 1.1.19 decodes Geneve but can't serialize it. Its decoder also
 // panics on a header of 7 bytes, returns the wrong payload after more than 247
 // bytes of options (its offset has 8 bits), reads 4 of the 5 length bits and
--- a/internal/geneve/geneve_test.go
+++ b/internal/geneve/geneve_test.go
@@ -395,6 +395,38 @@
 	}
 }
 
+// Guards against a response that is forwarded to a target as a start packet
+// after the target shed the request, also when the packet is passed on.
+func TestShed(t *testing.T) {
+	self, peer, target := netip.MustParseAddrPort("192.0.2.1:1"), netip.MustParseAddrPort("192.0.2.2:1"), netip.MustParseAddrPort("192.0.2.3:1")
+	a := &Adapter{Counters: NewCounters()}
+	a.SetView(testView(t, self, peer, target), time.Unix(0, 0))
+	request := must2(t)(BuildUDP(caller4, vip4, initial))
+	bare := must2(t)(BuildBare(vip4, caller4, fleet.UDP))
+	shed := Header{Control: true, Shed: true}
+	pass := balancer.PassHeader{Mode: balancer.Answer, Step: uint8(balancer.Shed), Origin: "b"}
+	for _, tt := range []struct {
+		name  string
+		from  netip.AddrPort
+		b     []byte
+		inner []byte
+		want  Reason
+	}{
+		{"given back", target, append(shed.Append(nil, request), request...), request, ""},
+		{"bare", target, append(shed.Append(nil, bare), bare...), nil, ""},
+		{"given back, passed", peer, append(pass.Append([]byte{peerMagic, peerPacket}), request...), request, ""},
+		{"bare, passed", peer, append(pass.Append([]byte{peerMagic, peerPacket}), bare...), nil, ""},
+		{"request of a target", target, append((&Header{}).Append(nil, request), request...), nil, BadInner},
+	} {
+		var r Received
+		err := a.decode(NewDecoder(), a.index.Load(), &r, tt.b, tt.from)
+		checkReason(t, tt.name, err, tt.want)
+		if err == nil && (!bytes.Equal(r.Packet.Payload, tt.inner) || r.Packet.Flow != (fleet.FlowKey{Caller: caller4, VIP: vip4, Protocol: fleet.UDP})) {
+			t.Errorf("%s: got %s with %x, want the caller's flow with %x", tt.name, r.Packet.Flow, r.Packet.Payload, tt.inner)
+		}
+	}
+}
+
 // Guards against a leaving VM whose packets are rejected at once.
 func TestDepartedPeer(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/geneve/sender.go
+++ b/internal/geneve/sender.go
@@ -86,9 +86,14 @@
 		s.adapter.Counters.Discard(UnknownPeer)
 		return
 	}
+	inner := act.Payload
+	if len(inner) == 0 {
+		// An end without a packet: the headers name the flow.
+		inner = s.bare(act.Flow.VIP, act.Flow.Caller, act.Flow.Protocol)
+	}
 	b := append(s.next(), peerMagic, peerPacket)
 	b = act.Header.Append(b)
-	s.queue(append(b, act.Payload...), peer)
+	s.queue(append(b, inner...), peer)
 	s.adapter.Counters.Passed.Add(1)
 }
 
@@ -120,7 +125,11 @@
 }
 
 func (s *Sender) refuse(act *balancer.Action) {
-	inner, err := s.decoder.Refusal(act.Payload)
+	refused := act.Payload
+	if len(refused) == 0 {
+		refused = s.bare(act.Flow.Caller, act.Flow.VIP, act.Flow.Protocol)
+	}
+	inner, err := s.decoder.Refusal(refused)
 	if err != nil {
 		s.adapter.Counters.Discard(BadInner)
 		return
@@ -134,9 +143,8 @@
 
 // cancel sends a control packet whose inner headers name the flow.
 func (s *Sender) cancel(act *balancer.Action) {
-	inner, err := BuildBare(act.Flow.Caller, act.Flow.VIP, act.Flow.Protocol)
-	if err != nil {
-		s.adapter.Counters.Discard(BadInner)
+	inner := s.bare(act.Flow.Caller, act.Flow.VIP, act.Flow.Protocol)
+	if inner == nil {
 		return
 	}
 	h := Header{Control: true, Cancel: true, Flow: act.Flow.Hash()}
@@ -144,6 +152,15 @@
 	s.adapter.Counters.Cancelled.Add(1)
 }
 
+// bare builds a packet that names a flow; it counts a failure and returns nil.
+func (s *Sender) bare(source, destination netip.AddrPort, p fleet.Protocol) []byte {
+	inner, err := BuildBare(source, destination, p)
+	if err != nil {
+		s.adapter.Counters.Discard(BadInner)
+	}
+	return inner
+}
+
 // Discard counts a packet that the caller of Do drops.
 func (s *Sender) Discard(r Reason) { s.adapter.Counters.Discard(r) }
 
