Hand all records over before a planned stop ends

Cause: a leaving VM ended after a quiet time even while records waited for their acknowledgement. The demo's council removed targets when a VM that had left reported late. Change: the stop also waits until the core's outbox is empty, at most for the drain time; late reports are ignored.

--- a/internal/demo/council.go
+++ b/internal/demo/council.go
@@ -190,6 +190,11 @@
 	c, z := m.council, m.zone
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// A VM outside the view has given up its leases, so that its report names
+	// only what reached it late.
+	if !slices.ContainsFunc(z.members, func(vm fleet.VM) bool { return vm.ID == m.vm.ID }) {
+		return
+	}
 	z.targets = slices.DeleteFunc(z.targets, func(o fleet.Target) bool {
 		return z.reporter[o.ID] == m.vm.ID && !slices.ContainsFunc(targets, func(t fleet.Target) bool { return t.ID == o.ID })
 	})
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -281,7 +281,8 @@
 
 func (d *Daemon) report(r *announce.Registry) { d.Membership.Report(r.Targets()) }
 
-// leave asks for a view without this VM and waits until no packets arrive.
+// leave asks for a view without this VM and waits until no packets arrive and
+// its records are handed over.
 func (d *Daemon) leave(ctx context.Context, cause error) {
 	if errors.As(cause, &KilledError{}) {
 		return
@@ -306,13 +307,23 @@
 			if n := d.received(); n != before {
 				quietSince, before = now, n
 			}
-			if now.Sub(quietSince) >= d.Settings.QuietTime {
+			if now.Sub(quietSince) >= d.Settings.QuietTime && d.handedOver() {
 				return
 			}
 		}
 	}
 }
 
+// handedOver reports whether the other VMs have acknowledged all records.
+func (d *Daemon) handedOver() bool {
+	for _, s := range d.shards {
+		if s.stats.Load().Outbox > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (d *Daemon) received() uint64 {
 	c := d.adapter.Counters
 	return c.FromFabric.Load() + c.FromPeer.Load() + c.FromTarget.Load()
