--- a/internal/demo/pipe.go
+++ b/internal/demo/pipe.go
@@ -96,6 +96,13 @@
 // SetWriteDeadline does nothing, since writes do not block.
 func (p *pipe) SetWriteDeadline(time.Time) error { return nil }
 
+// SetReadBuffer does nothing: pipeSize bounds the buffer. quic-go warns where
+// the method is missing.
+func (p *pipe) SetReadBuffer(int) error { return nil }
+
+// SetWriteBuffer does nothing, since writes do not block.
+func (p *pipe) SetWriteBuffer(int) error { return nil }
+
 // fail ends reads with an error.
 func (p *pipe) fail(err error) {
 	p.once.Do(func() {
