--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -17,10 +17,13 @@
 	sweepSteps = 10
 	// pauseLimit is the time between two ticks after which this process counts
 	// as paused. Packets may have waited in its sockets for so long that other
-	// VMs no longer remember the decisions about their flows, so for pauseQuiet,
-	// in which the sockets are emptied, start packets are dropped.
+	// VMs no longer remember the decisions about their flows, and its view may
+	// name addresses that belong to other services now. So it drops packets for
+	// pauseQuiet, in which the sockets are emptied, and then until its lease
+	// shows that its view is current, for at most pauseMost.
 	pauseLimit = time.Second
 	pauseQuiet = 200 * time.Millisecond
+	pauseMost  = 3 * time.Second
 )
 
 // Balancer decides about packets. One goroutine uses it.
@@ -174,7 +177,7 @@
 	}
 	p.hash = p.Flow.Hash()
 	b.notePause(now)
-	if p.Start && now.Before(b.quiet) {
+	if p.Source != FromTarget && b.isQuiet(now) {
 		return b.drop(&p, CausePaused, out)
 	}
 	switch p.Source {
@@ -195,6 +198,14 @@
 	}
 }
 
+// isQuiet reports whether packets are dropped after a pause.
+func (b *Balancer) isQuiet(now time.Time) bool {
+	if !now.Before(b.quiet.Add(pauseMost)) {
+		return false
+	}
+	return now.Before(b.quiet) || !now.Before(b.leaseUntil)
+}
+
 func (b *Balancer) fromPeer(p *Packet, now time.Time, out []Action) []Action {
 	if p.Header.Hops > MaxHops {
 		return b.drop(p, CauseHops, out)
