Never say NotRun for a request whose target is gone

Change: such a start is marked as uncertain on its way, and its entry stays until a new decision replaces it; the sequence is kept in TestFoundFaults.

--- a/pkg/balancer/ask.go
+++ b/pkg/balancer/ask.go
@@ -48,6 +48,13 @@
 				return b.pass(p, to, p.Header, out)
 			}
 			b.removeFlow(i, Cancelled, now)
+		case e.state == stateUnknown && b.listeners.all[e.listener].Kind.Idempotent && p.Start:
+			// A target that is gone ran it, so it may start again elsewhere but
+			// never counts as surely not run.
+			h := p.Header
+			h.Mode, h.Uncertain = NotHere, true
+			p.Header.Hops--
+			return b.pass(p, h.Origin, h, out)
 		case e.state == stateReturned && !b.isStale(e):
 			// The memory of the return stays: it also keeps a late duplicate of
 			// the offer from being accepted.
@@ -132,7 +139,7 @@
 
 // notHere goes on with a packet that a VM did not hold.
 func (b *Balancer) notHere(p *Packet, now time.Time, out []Action) []Action {
-	if i := b.find(p); i != noEntry && !b.flows.entries[i].isElsewhere() {
+	if i := b.find(p); i != noEntry && !b.mayStartAgain(&b.flows.entries[i]) {
 		return b.known(i, p, now, out)
 	}
 	l := b.view.Listener(p.Flow.VIP, p.Flow.Protocol)
@@ -156,6 +163,12 @@
 	return b.ask(p, l, r, int(p.Header.Step), p.Header.Uncertain && p.Start, now, out)
 }
 
+// mayStartAgain reports whether an entry leaves the decision about a start
+// packet open.
+func (b *Balancer) mayStartAgain(e *flowEntry) bool {
+	return e.isElsewhere() || e.state == stateUnknown && b.listeners.all[e.listener].Kind.Idempotent
+}
+
 // replicaNotHere goes on after the place of a replicated exception did not
 // hold the flow.
 func (b *Balancer) replicaNotHere(p *Packet, l *fleet.Listener, r Route, now time.Time, out []Action) []Action {
--- a/pkg/balancer/flow.go
+++ b/pkg/balancer/flow.go
@@ -119,7 +119,7 @@
 	if !b.listeners.all[e.listener].Kind.Idempotent {
 		return b.drop(p, CauseUnknownResult, out)
 	}
-	b.removeFlow(i, Cancelled, now)
+	p.unsure = true
 	return b.unknown(p, now, out)
 }
 
--- a/pkg/balancer/packet.go
+++ b/pkg/balancer/packet.go
@@ -113,6 +113,8 @@
 		// Shed it is the start packet where the target gave it back.
 		Payload []byte
 		hash    fleet.FlowHash
+		// unsure is set where a target that is gone may have run the request.
+		unsure bool
 	}
 
 	// Action tells the adapter what to do with a packet.
--- a/pkg/balancer/random_test.go
+++ b/pkg/balancer/random_test.go
@@ -189,6 +189,7 @@
 		"flow at another target of the former owner": {570, []int{3, 4, 0, 10, 1}, []int{277, 969, 444, 189, 520}, []int{2853, 3099, 3089, 5906, 5165}},
 		"repeated refusal in an old view":            {20, []int{1, 6}, []int{436, 966}, []int{4506, 1248}},
 		"paused VM with addresses of an old view":    {376, []int{1, 3, 2, 7, 9, 0}, []int{811, 827, 569, 309, 587, 232}, []int{2374, 4810, 3071, 4522, 3277, 3451}},
+		"refusal after the flow's target is gone":    {528, []int{10, 5, 4, 3, 6}, []int{530, 664, 128, 164, 928}, []int{3747, 3067, 1867, 1594, 3664}},
 		"offer of an earlier epoch":                  {0, []int{6, 0, 2, 1, 9, 8}, []int{579, 919, 861, 256, 45, 301}, []int{5448, 1662, 2299, 4105, 3217, 4100}},
 	}
 	for name, c := range tests {
--- a/pkg/balancer/route.go
+++ b/pkg/balancer/route.go
@@ -47,7 +47,7 @@
 	}
 	peer := b.placement.Relay(zone.ID, p.hash)
 	if zone.Reachable && peer != "" {
-		return b.pass(p, peer, PassHeader{Mode: ToFirst}, out)
+		return b.pass(p, peer, PassHeader{Mode: ToFirst, Uncertain: p.unsure}, out)
 	}
 	if l.Kind.Idempotent {
 		return b.local(p, l, false, now, out)
@@ -66,8 +66,9 @@
 		return b.forward(p, r.First.Target.ID, out)
 	}
 	if r.Decider != "" && r.Decider != b.self {
-		return b.pass(p, r.Decider, PassHeader{Mode: ToFirst, Target: r.First.Key}, out)
+		return b.pass(p, r.Decider, PassHeader{Mode: ToFirst, Target: r.First.Key, Uncertain: p.unsure}, out)
 	}
+	home = home && !p.unsure && (p.Header.Mode != ToFirst || !p.Header.Uncertain)
 	if r.Unowned {
 		return b.placeUnowned(p, l, r, now, out)
 	}
