--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -17,10 +17,13 @@
 	sweepSteps = 10
 	// pauseLimit is the time between two ticks after which this process counts
 	// as paused. Packets may have waited in its sockets for so long that other
-	// VMs no longer remember the decisions about their flows, so for pauseQuiet,
-	// in which the sockets are emptied, start packets are dropped.
+	// VMs no longer remember the decisions about their flows, and its view may
+	// name addresses that belong to other services now. So it drops packets for
+	// pauseQuiet, in which the sockets are emptied, and then until its lease
+	// shows that its view is current, for at most pauseMost.
 	pauseLimit = time.Second
 	pauseQuiet = 200 * time.Millisecond
+	pauseMost  = 3 * time.Second
 )
 
 // Balancer decides about packets. One goroutine uses it.
@@ -53,6 +56,7 @@
 	joiners   []fleet.VMID // new members that lack the history
 	idle      uint32       // longest idle timeout or retention time, in ms
 	refusals  int          // entries in Refused and Returned
+	lapsed    bool         // the lease ended since the last change of epoch
 	sweepAt   int
 	lastSweep time.Time
 	lastTick  time.Time
@@ -88,7 +92,12 @@
 	if b.view != nil && v.Epoch < b.view.Epoch {
 		return
 	}
+	b.noteLease(now)
 	old := b.placement
+	if b.lapsed && old != nil && v.Epoch > b.view.Epoch {
+		old = nil
+		b.forgetDecisions(now)
+	}
 	b.view = v
 	b.placement = placement.New(v)
 	b.history.push(old, b.placement, now)
@@ -100,9 +109,41 @@
 	b.sendHistory(old, now)
 }
 
+// noteLease forgets the last sealed epoch where the lease ended: epochs that
+// this VM never saw may have been sealed since.
+func (b *Balancer) noteLease(now time.Time) {
+	if !now.Before(b.leaseUntil) {
+		b.history.unsealed = nil
+		b.lapsed = true
+	}
+}
+
+// forgetDecisions makes a VM whose lease ended know no more than a new member:
+// others may have owned its places and decided otherwise. Where a flow runs
+// stays true.
+func (b *Balancer) forgetDecisions(now time.Time) {
+	b.lapsed = false
+	b.history = history{}
+	b.scan = scan{}
+	for i := range b.flows.entries {
+		switch b.flows.entries[i].state {
+		case stateAway, stateRefused, stateReturned, stateMoved:
+			b.removeFlow(uint32(i), Cancelled, now)
+		}
+	}
+	clear(b.replicas)
+	for i := range b.places.all {
+		pl := &b.places.all[i]
+		if pl.owned {
+			pl.owned, pl.wasOwned, pl.until, pl.out = false, true, tick(now), nil
+		}
+	}
+}
+
 // mayDecide reports whether a non-idempotent request may be decided now: with
-// a valid lease, and in a sealed epoch or where the last sealed epoch gives
-// the flow the same candidates and owners.
+// a valid lease, and in a sealed epoch or where the last epoch known as sealed
+// and all later ones give the flow the same candidates and owners. Any of the
+// later ones may have been sealed without this VM hearing of it.
 func (b *Balancer) mayDecide(s fleet.ServiceID, h fleet.FlowHash, r Route, now time.Time) bool {
 	if !now.Before(b.leaseUntil) {
 		return false
@@ -110,14 +151,21 @@
 	if b.view.Sealed {
 		return true
 	}
-	m := b.history.sealed
-	if m == nil {
-		return false
+	for _, m := range b.history.unsealed {
+		if !b.sameRoute(m, s, h, r) {
+			return false
+		}
 	}
+	return len(b.history.unsealed) > 0
+}
+
+// sameRoute reports whether an earlier placement gives the flow the same home
+// zone, candidates and owners as the present one.
+func (b *Balancer) sameRoute(m *placement.Map, s fleet.ServiceID, h fleet.FlowHash, r Route) bool {
 	old, oldZone, zone := b.cfg.Strategy.Route(m, s, h), m.HomeZone(s, h), b.placement.HomeZone(s, h)
 	return old.First.Key == r.First.Key && old.Second.Key == r.Second.Key &&
 		old.First.Owner == r.First.Owner && old.Second.Owner == r.Second.Owner &&
-		oldZone != nil && zone != nil && oldZone.ID == zone.ID
+		(oldZone == nil) == (zone == nil) && (zone == nil || oldZone.ID == zone.ID)
 }
 
 // Handle decides about one packet and appends the actions to out. Payloads of
@@ -129,7 +177,7 @@
 	}
 	p.hash = p.Flow.Hash()
 	b.notePause(now)
-	if p.Start && now.Before(b.quiet) {
+	if p.Source != FromTarget && b.isQuiet(now) {
 		return b.drop(&p, CausePaused, out)
 	}
 	switch p.Source {
@@ -150,6 +198,14 @@
 	}
 }
 
+// isQuiet reports whether packets are dropped after a pause.
+func (b *Balancer) isQuiet(now time.Time) bool {
+	if !now.Before(b.quiet.Add(pauseMost)) {
+		return false
+	}
+	return now.Before(b.quiet) || !now.Before(b.leaseUntil)
+}
+
 func (b *Balancer) fromPeer(p *Packet, now time.Time, out []Action) []Action {
 	if p.Header.Hops > MaxHops {
 		return b.drop(p, CauseHops, out)
@@ -183,6 +239,7 @@
 	}
 	b.notePause(now)
 	b.lastTick = now
+	b.noteLease(now)
 	out = b.moveQueued(now, out)
 	out = b.releaseHeld(now, out)
 	for _, at := range b.places.owned {
--- a/pkg/balancer/offer.go
+++ b/pkg/balancer/offer.go
@@ -116,6 +116,7 @@
 	}
 	e := &b.flows.entries[i]
 	b.step(e, eventReturn)
+	e.epoch = uint32(b.view.Epoch)
 	e.until = tick(now) + b.listeners.all[e.listener].retention
 	return b.giveBack(p, out)
 }
@@ -125,6 +126,9 @@
 // starts a new request.
 func (b *Balancer) forgets(i uint32, p *Packet) bool {
 	e := &b.flows.entries[i]
+	if b.isStale(e) {
+		return true
+	}
 	if e.state == stateMoved {
 		return b.vms[e.place] == p.Header.Origin && uint32(p.Header.Epoch) >= e.epoch
 	}
@@ -142,6 +146,9 @@
 func (b *Balancer) giveBack(p *Packet, out []Action) []Action {
 	b.stats.Returned++
 	h := PassHeader{Mode: Returned, Target: p.Header.Target, Epoch: p.Header.Epoch, Origin: p.Header.Origin}
+	if at, ok := b.places.at[h.Target]; ok && b.places.all[at].limiter != nil {
+		h.Pressure = b.places.all[at].limiter.Pressure()
+	}
 	return b.pass(p, p.Header.Origin, h, out)
 }
 
