Survey members and zones on change only

Cause: ten surveys a second took 2.75 % of a core with 2,880 VMs in 16 zones; the budget of a daemon for all control is 1.9 %.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -26,9 +26,10 @@
 const (
 	// tickInterval bounds how late a timer of a protocol fires.
 	tickInterval = 20 * time.Millisecond
-	// surveyInterval is the time between two looks at all members and zones,
-	// which costs in proportion to the fleet.
-	surveyInterval = 100 * time.Millisecond
+	// surveyInterval is the time between two looks at all members and zones
+	// while none of them changes. A look costs in proportion to the fleet: ten
+	// a second took 2.75 % of a core with 2,880 VMs.
+	surveyInterval = time.Second
 	// queueLength bounds the received messages that wait for the goroutine.
 	queueLength = 1024
 	// leaseStep is the least extension of a lease that the traffic side is
@@ -81,9 +82,9 @@
 		last    published
 		// connected is when a majority of the council last answered.
 		connected time.Time
-		// surveyed is the time of the last survey, and isolated and zones what
-		// it saw.
-		surveyed time.Time
+		// seen is what the last survey was made of, isolated and zones are what
+		// it found.
+		seen     survey
 		isolated []fleet.VM
 		zones    []fleet.Zone
 		// zonesSeen rises with each change of zones.
@@ -96,6 +97,14 @@
 		leaving  atomic.Bool
 	}
 
+	// survey says what a survey was made of.
+	survey struct {
+		at         time.Time
+		generation uint64
+		epoch      fleet.Epoch
+		revision   fleet.Revision
+	}
+
 	// published is what the traffic side knows.
 	published struct {
 		epoch      fleet.Epoch
@@ -194,8 +203,9 @@
 	if c.leaving.Load() {
 		c.members.Leave(now)
 	}
-	if now.Sub(c.surveyed) >= surveyInterval {
-		c.surveyed = now
+	c.members.SetFit(c.leases.Connected(now))
+	c.members.SetEpoch(c.leases.View().Epoch)
+	if c.surveyDue(now) {
 		c.survey(now)
 	}
 	c.sendMembership(c.members.Tick(now), now)
@@ -203,10 +213,16 @@
 	c.sendSpread(ctx, c.spread.Tick(now), now)
 }
 
-// survey tells the state machines of each other.
+// surveyDue reports whether the member table, the view or the settings changed
+// since the last survey, or its interval has passed.
+func (c *Cluster) surveyDue(now time.Time) bool {
+	return c.members.Generation() != c.seen.generation || c.leases.View().Epoch != c.seen.epoch ||
+		c.store.Revision() != c.seen.revision || now.Sub(c.seen.at) >= surveyInterval
+}
+
+// survey looks at all members and zones.
 func (c *Cluster) survey(now time.Time) {
-	c.members.SetFit(c.leases.Connected(now))
-	c.members.SetEpoch(c.leases.View().Epoch)
+	c.seen = survey{at: now, generation: c.members.Generation(), epoch: c.leases.View().Epoch, revision: c.store.Revision()}
 	c.leases.SetCandidates(c.members.Candidates(now))
 	c.setPeers(now)
 	c.isolated = c.reachable(now)
