Let status and measurements scale

Cause: /Status listed all targets of a zone at each of its VMs, half a gigabyte for a fleet of the design scale; docs/CAPACITY.md needs slopes for views, renewals, probes and events.

--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -25,6 +25,8 @@
 		Revision   fleet.Revision `json:"Revision"`
 		Members    []fleet.VMID   `json:"Members"`
 		Zones      []ZoneStatus   `json:"Zones"`
+		// Targets are those that this VM owns; all targets of a zone at each of
+		// its VMs would be half a gigabyte for 2,900 VMs.
 		Targets    []TargetStatus `json:"Targets"`
 		Flows      int            `json:"Flows"`
 		Forwarded  uint64         `json:"Forwarded"`
@@ -42,7 +44,7 @@
 		Spare     map[fleet.ServiceID]int `json:"Spare,omitempty"`
 	}
 
-	// TargetStatus is a target of the zone and its owner.
+	// TargetStatus is a target and its owner.
 	TargetStatus struct {
 		ID    fleet.TargetID    `json:"ID"`
 		State fleet.TargetState `json:"State"`
@@ -80,7 +82,9 @@
 	owners := placement.New(v)
 	for i := range v.Targets {
 		t := &v.Targets[i]
-		s.Targets = append(s.Targets, TargetStatus{ID: t.ID, State: t.State, Owner: owners.Owner(t.ID.Key())})
+		if owner := owners.Owner(t.ID.Key()); owner == s.ID {
+			s.Targets = append(s.Targets, TargetStatus{ID: t.ID, State: t.State, Owner: owner})
+		}
 	}
 	return s
 }
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -137,24 +137,26 @@
 	return w.Flush()
 }
 
-// printServices prints each service's targets by zone, state and owner, as the
-// VM with the highest epoch of the zone sees them.
+// printServices prints the targets with their zones, states and owners. Where
+// VMs with different views both own a target, the higher epoch counts.
 func (s *FleetStatus) printServices(w *tabwriter.Writer) {
-	newest := make(map[fleet.ZoneID]*entry.Status)
-	for i := range s.Entry {
-		v := &s.Entry[i]
-		if n := newest[v.Zone]; n == nil || v.Epoch > n.Epoch {
-			newest[v.Zone] = v
-		}
+	type owned struct {
+		entry.TargetStatus
+		vm *entry.Status
 	}
-	fmt.Fprintf(w, "TARGET\tZONE\tSTATE\tOWNER\n")
+	newest := make(map[fleet.TargetID]owned)
 	for i := range s.Entry {
 		v := &s.Entry[i]
-		if newest[v.Zone] != v {
-			continue
-		}
 		for _, t := range v.Targets {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", t.ID, v.Zone, t.State, t.Owner)
+			if n, ok := newest[t.ID]; !ok || v.Epoch > n.vm.Epoch {
+				newest[t.ID] = owned{t, v}
+			}
 		}
 	}
+	lines := make([]string, 0, len(newest))
+	for id, t := range newest {
+		lines = append(lines, fmt.Sprintf("%s\t%s\t%s\t%s\n", id, t.vm.Zone, t.State, t.Owner))
+	}
+	slices.Sort(lines)
+	fmt.Fprintf(w, "TARGET\tZONE\tSTATE\tOWNER\n%s", strings.Join(lines, ""))
 }
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
@@ -131,3 +133,26 @@
 		}
 	}
 }
+
+// BenchmarkProbe measures one probe of health and load over HTTP, both ends
+// included, and the bytes of its report.
+func BenchmarkProbe(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/load" {
+			_, _ = w.Write([]byte(`{"SlotsInUse": 2}`))
+		}
+	}))
+	defer server.Close()
+	id := fleet.TargetID{Address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
+	task := Task{Target: id, Endpoint: Endpoint{HealthPath: "/health", LoadPath: "/load", Timeout: time.Second}}
+	for b.Loop() {
+		if r := Do(context.Background(), server.Client(), task); !r.Healthy || !r.HasLoad {
+			b.Fatalf("got %+v, want a healthy target with its load", r)
+		}
+	}
+	body, err := cbor.Marshal(Report{Target: key, Healthy: true, HasLoad: true, InFlight: 2, Probed: 24})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(body)), "report-bytes")
+}
