--- /dev/null
+++ b/internal/cluster/metrics_test.go
@@ -0,0 +1,71 @@
+package cluster
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"bamboowalk.org/bamboowalk/internal/peer"
+)
+
+// Guards against metrics of a running VM that are missing, and against a
+// scrape that blocks before the start or after the stop.
+func TestMetrics(t *testing.T) {
+	n := zoneOf(t, 1)[0]
+	socketOnly := testutil.CollectAndCount(n.Cluster)
+	if want := 4*len(peer.Channels()) + 3; socketOnly != want {
+		t.Errorf("before the start: got %d samples, want %d", socketOnly, want)
+	}
+	n.start(t)
+	for _, tt := range []struct {
+		name string
+		want int
+	}{
+		{"bamboowalk_control_bytes_total", 2 * len(peer.Channels())},
+		{"bamboowalk_control_datagrams_total", 2 * len(peer.Channels())},
+		{"bamboowalk_control_discarded_datagrams_total", 3},
+		{"bamboowalk_lease_events_total", 13},
+		{"bamboowalk_membership_events_total", 11},
+		{"bamboowalk_spread_events_total", 7},
+		{"bamboowalk_live_members", 1},
+		{"bamboowalk_council_connected", 1},
+		{"bamboowalk_council_voting", 1},
+		{"bamboowalk_proposer", 1},
+	} {
+		if got := testutil.CollectAndCount(n.Cluster, tt.name); got != tt.want {
+			t.Errorf("%s: got %d samples, want %d", tt.name, got, tt.want)
+		}
+	}
+	problems, err := testutil.CollectAndLint(n.Cluster)
+	if err != nil || len(problems) > 0 {
+		t.Errorf("lint: got %v, %v, want nothing", problems, err)
+	}
+	n.stop()
+	if got := testutil.CollectAndCount(n.Cluster); got != socketOnly {
+		t.Errorf("after the stop: got %d samples, want %d", got, socketOnly)
+	}
+}
+
+// Guards against counters of the socket that go to another channel or
+// direction.
+func TestChannelMetrics(t *testing.T) {
+	n := zoneOf(t, 1)[0]
+	t.Cleanup(func() { n.Socket.Conn.Close(); n.Pulls.Close() })
+	n.Socket.Counters(peer.Lease).SentBytes.Add(7)
+	n.Socket.Counters(peer.Spread).ReceivedBytes.Add(9)
+	want := `# HELP bamboowalk_control_bytes_total Bytes of control datagrams, by channel and direction.
+# TYPE bamboowalk_control_bytes_total counter
+bamboowalk_control_bytes_total{channel="Lease",direction="received"} 0
+bamboowalk_control_bytes_total{channel="Lease",direction="sent"} 7
+bamboowalk_control_bytes_total{channel="Membership",direction="received"} 0
+bamboowalk_control_bytes_total{channel="Membership",direction="sent"} 0
+bamboowalk_control_bytes_total{channel="Probe",direction="received"} 0
+bamboowalk_control_bytes_total{channel="Probe",direction="sent"} 0
+bamboowalk_control_bytes_total{channel="Spread",direction="received"} 9
+bamboowalk_control_bytes_total{channel="Spread",direction="sent"} 0
+`
+	if err := testutil.CollectAndCompare(n.Cluster, strings.NewReader(want), "bamboowalk_control_bytes_total"); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -25,6 +25,14 @@
 	hintsDesc     = newDesc("spread_hints_sent_total", "Hints sent to entry VMs.")
 )
 
+// Descriptions returns the descriptions of the metrics of a control daemon.
+func Descriptions() []*prometheus.Desc {
+	return []*prometheus.Desc{
+		roleDesc, termDesc, commitDesc, appliedDesc, revisionDesc, electionsDesc, syncsDesc,
+		proposalsDesc, snapshotsDesc, walDesc, pushesDesc, hintsDesc,
+	}
+}
+
 // collector reads the replica's counters at each scrape.
 type collector struct {
 	loop *loop
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -15,6 +15,10 @@
 func (d *Daemon) handler() http.Handler {
 	metrics := prometheus.NewRegistry()
 	metrics.MustRegister(&collector{daemon: d})
+	// A Membership that takes part in protocols has metrics of its own.
+	if c, ok := d.Membership.(prometheus.Collector); ok {
+		metrics.MustRegister(c)
+	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(metrics, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /health", d.health)
