--- a/internal/cluster/metrics_test.go
+++ b/internal/cluster/metrics_test.go
@@ -1,12 +1,17 @@
 package cluster
 
 import (
+	"maps"
+	"os"
 	"strings"
 	"testing"
 
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"bamboowalk.org/bamboowalk/internal/peer"
+	"bamboowalk.org/bamboowalk/pkg/lease"
+	"bamboowalk.org/bamboowalk/pkg/membership"
+	"bamboowalk.org/bamboowalk/pkg/spread"
 )
 
 // Guards against metrics of a running VM that are missing, and against a
@@ -69,3 +74,19 @@
 		t.Error(err)
 	}
 }
+
+// Guards against an event that the metrics page lacks.
+func TestEventLabels(t *testing.T) {
+	page, err := os.ReadFile("../../docs/metrics.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	events := leaseEvents(&lease.Stats{})
+	maps.Copy(events, membershipEvents(&membership.Stats{}))
+	maps.Copy(events, spreadEvents(&spread.Stats{}))
+	for label := range events {
+		if !strings.Contains(string(page), "`"+label+"`") {
+			t.Errorf("got no event %s", label)
+		}
+	}
+}
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -6,6 +6,7 @@
 	"go/token"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -111,8 +112,23 @@
 	return strings.Split(w.Body.String(), "\n")
 }
 
-// Guards against a cause or mode that is added to the core without its label.
+// Guards against a cause or mode that is added to the core without its label
+// or its place in the metrics page.
 func TestMetricLabels(t *testing.T) {
+	page, err := os.ReadFile("../../docs/metrics.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for label := range newTotals().refused {
+		if !strings.Contains(string(page), "\n| `"+label+"` |") {
+			t.Errorf("metrics page: got no row for the cause %s", label)
+		}
+	}
+	for label := range newTotals().passed {
+		if !strings.Contains(string(page), "`"+label+"`") {
+			t.Errorf("metrics page: got no mode %s", label)
+		}
+	}
 	if got, want := len(causes), len(constants(t, "../../pkg/balancer/stats.go", "Cause")); got != want || got == 0 {
 		t.Errorf("got %d causes, want %d", got, want)
 	}
