--- /dev/null
+++ b/internal/demo/examples_test.go
@@ -0,0 +1,175 @@
+package demo
+
+import (
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"bamboowalk.org/bamboowalk/internal/control"
+	"bamboowalk.org/bamboowalk/internal/entry"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/settings"
+)
+
+// Guards against example settings that a daemon or a control replica rejects,
+// and against files of one deployment that contradict each other.
+func TestExampleDeployments(t *testing.T) {
+	tests := []struct {
+		folder, team string
+		documents    int
+	}{
+		{"nastrificio", "Lutto", 10},
+		{"kalesa", "Kalesa", 10},
+	}
+	for _, tt := range tests {
+		folder := filepath.Join("../../examples", tt.folder)
+		replicas := checkControlFiles(t, folder)
+		machine, zones := applyDocuments(t, folder, tt.team, tt.documents)
+		if got, want := machine.Revision(), fleet.Revision(tt.documents); got != want {
+			t.Errorf("%s: got revision %d, want %d", tt.folder, got, want)
+		}
+		checkEntryFiles(t, folder, replicas, zones)
+	}
+}
+
+// checkControlFiles loads the files of the control VMs beside a root key, which
+// an operator makes first.
+func checkControlFiles(t *testing.T, folder string) map[fleet.VMID]*control.Settings {
+	t.Helper()
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "root.key"), []byte(rootKey), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out := make(map[fleet.VMID]*control.Settings)
+	for i := range replicas {
+		name := fmt.Sprintf("control-%d.toml", i+1)
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(read(t, filepath.Join(folder, name))), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := control.LoadSettings(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r := s.Replica(s.ID); r.HTTP != s.HTTP || len(s.Replicas) != replicas {
+			t.Errorf("%s: got replicas %v, want %d with own HTTP address %s", name, s.Replicas, replicas, s.HTTP)
+		}
+		out[s.ID] = s
+	}
+	return out
+}
+
+// applyDocuments writes the documents in the order that their references need;
+// the root key writes zones and access, the team's key the rest.
+func applyDocuments(t *testing.T, folder, team string, want int) (*settings.Machine, map[fleet.ZoneID][]fleet.VM) {
+	t.Helper()
+	root := filepath.Join(folder, "settings")
+	m := settings.NewMachine()
+	now := time.Unix(1e9, 0)
+	n := 0
+	for _, part := range []string{"Zones", "Access", "Teams/" + team + "/Services", "Teams/" + team + "/Listeners"} {
+		files, err := filepath.Glob(filepath.Join(root, part, "*.toml"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, file := range files {
+			n++
+			rel := strings.TrimPrefix(strings.TrimSuffix(file, ".toml"), root)
+			w := &settings.Write{
+				Operation: settings.NewOperationID(now, uint64(n)), Path: settings.Path(filepath.ToSlash(rel)), Text: read(t, file),
+				Root: !strings.HasPrefix(part, "Teams"), KeyHash: settings.HashKey("change me: " + team),
+			}
+			r, err := settings.DecodeResult(m.Apply(w.Encode(), now))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := r.Err(); err != nil {
+				t.Errorf("%s: %v", file, err)
+			}
+		}
+	}
+	if all := countFiles(t, root); n != want || all != want {
+		t.Errorf("%s: got %d documents written of %d, want %d", root, n, all, want)
+	}
+	return m, zoneVMs(t, root)
+}
+
+func zoneVMs(t *testing.T, root string) map[fleet.ZoneID][]fleet.VM {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(root, "Zones", "*.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := make(map[fleet.ZoneID][]fleet.VM)
+	for _, file := range files {
+		var z settings.Zone
+		if _, err := toml.DecodeFile(file, &z); err != nil {
+			t.Fatal(err)
+		}
+		out[fleet.ZoneID(strings.TrimSuffix(filepath.Base(file), ".toml"))] = z.EntryVMs
+	}
+	return out
+}
+
+// checkEntryFiles loads one file per zone and compares its addresses with the
+// zones' documents and the control VMs' files.
+func checkEntryFiles(t *testing.T, folder string, replicas map[fleet.VMID]*control.Settings, zones map[fleet.ZoneID][]fleet.VM) {
+	t.Helper()
+	for zone, vms := range zones {
+		s, err := entry.Load(filepath.Join(folder, strings.ToLower(string(zone))+"-1.toml"))
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		own := fleet.VM{ID: s.ID, Control: s.Control, Data: s.Data, HTTP: s.HTTP}
+		if s.Zone != zone || !slices.Contains(vms, own) {
+			t.Errorf("%s: got %v in zone %s, want a VM of %s: %v", folder, own, s.Zone, zone, vms)
+		}
+		for _, z := range s.Zones {
+			for _, vm := range z.Members {
+				if !slices.Contains(zones[z.ID], vm) {
+					t.Errorf("%s: member %v is no entry VM of %s", s.ID, vm, z.ID)
+				}
+			}
+		}
+		for _, r := range s.Replicas {
+			if c := replicas[r.ID]; c == nil || c.Control != r.Control {
+				t.Errorf("%s: replica %v has other addresses than its own file", s.ID, r)
+			}
+		}
+		if got, want := len(s.Replicas), len(replicas); got != want {
+			t.Errorf("%s: got %d replicas, want %d", s.ID, got, want)
+		}
+	}
+}
+
+func countFiles(t *testing.T, root string) int {
+	t.Helper()
+	n := 0
+	err := filepath.WalkDir(root, func(_ string, d fs.DirEntry, err error) error {
+		if err == nil && !d.IsDir() {
+			n++
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func read(t *testing.T, file string) string {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -116,7 +116,7 @@
 
 // Guards against example files that the daemon rejects.
 func TestExamples(t *testing.T) {
-	for _, name := range []string{"nastrificio-monza-1.toml", "kalesa-cebu-1.toml"} {
+	for _, name := range []string{"static/nastrificio-monza-1.toml", "nastrificio/monza-1.toml", "kalesa/cebu-1.toml"} {
 		if _, err := Load("../../examples/" + name); err != nil {
 			t.Error(err)
 		}
