Let the core use the requests of admission control

Cause: the core and admission control declared equal request types, and two adapters converted between them; three errors were bare strings.

Change: balancer.Request is admission.Request, *admission.Limiter is a Limiter and the default one; both adapters are gone. The three errors have types.

--- a/internal/control/keys.go
+++ b/internal/control/keys.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
 	"fmt"
 	"os"
 	"sync"
@@ -29,6 +28,9 @@
 		Err  error
 	}
 
+	// NoCertificateError reports a file without a PEM certificate.
+	NoCertificateError struct{}
+
 	// KeyStore holds the loaded keys, and loads them again when a file has
 	// changed. While the changed files are invalid it keeps the old keys, since
 	// files are replaced one after the other.
@@ -50,7 +52,8 @@
 	}
 )
 
-var errNoCertificate = errors.New("no certificate in the file")
+// Error says that the file has no certificate.
+func (NoCertificateError) Error() string { return "no certificate in the file" }
 
 // Error names the file.
 func (e *KeyError) Error() string { return fmt.Sprintf("key file %s: %v", e.File, e.Err) }
@@ -140,7 +143,7 @@
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(text) {
-		return &KeyError{File: s.files.CA, Err: errNoCertificate}
+		return &KeyError{File: s.files.CA, Err: NoCertificateError{}}
 	}
 	s.cert, s.pool = cert, pool
 	return nil
--- a/internal/control/rpc.go
+++ b/internal/control/rpc.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
 	"fmt"
 	"net"
 	"net/rpc"
@@ -85,6 +84,10 @@
 	// Empty is the reply of the call that delivers messages.
 	Empty struct{}
 
+	// TimeoutError reports a call without a reply in time, or a peer that is
+	// not dialled yet after a failure.
+	TimeoutError struct{}
+
 	// PeerError reports a failed exchange with a peer.
 	PeerError struct {
 		Peer fleet.VMID
@@ -117,7 +120,8 @@
 	}
 )
 
-var errTimeout = errors.New("no reply in time")
+// Error says that a peer did not answer.
+func (TimeoutError) Error() string { return "no reply in time" }
 
 // Error names the peer and the operation.
 func (e *PeerError) Error() string { return fmt.Sprintf("%s peer %s: %v", e.Op, e.Peer, e.Err) }
@@ -335,7 +339,7 @@
 	call := s.client.Go(deliverCall, b, &Empty{}, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
-		return &PeerError{Peer: s.peer, Op: "call", Err: errTimeout}
+		return &PeerError{Peer: s.peer, Op: "call", Err: TimeoutError{}}
 	case <-call.Done:
 	}
 	if call.Error != nil {
@@ -353,7 +357,7 @@
 	}
 	now := time.Now()
 	if now.Before(s.retryAt) {
-		return &PeerError{Peer: s.peer, Op: "dial", Err: errTimeout}
+		return &PeerError{Peer: s.peer, Op: "dial", Err: TimeoutError{}}
 	}
 	s.t.counters.dials.Add(1)
 	conn, err := s.dial(ctx)
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -183,10 +183,9 @@
 func (d *Daemon) newShard(i uint8) *shard {
 	s := newShard(d.adapter.NewSender(i))
 	s.core = balancer.New(balancer.Config{
-		Self:       d.Settings.ID,
-		NewLimiter: newLimiter,
-		Retries:    &admission.RetryBudget{},
-		Recorder:   d.Recorder,
+		Self:     d.Settings.ID,
+		Retries:  &admission.RetryBudget{},
+		Recorder: d.Recorder,
 	})
 	return s
 }
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -16,15 +16,15 @@
 type (
 	// Status is what an entry VM knows of itself and its zone.
 	Status struct {
-		ID         fleet.VMID     `json:"ID"`
-		Zone       fleet.ZoneID   `json:"Zone"`
-		Health     string         `json:"Health"`
-		Epoch      fleet.Epoch    `json:"Epoch"`
-		Sealed     bool           `json:"Sealed"`
-		HasLease   bool           `json:"HasLease"`
-		Revision   fleet.Revision `json:"Revision"`
-		Members    []fleet.VMID   `json:"Members"`
-		Zones      []ZoneStatus   `json:"Zones"`
+		ID       fleet.VMID     `json:"ID"`
+		Zone     fleet.ZoneID   `json:"Zone"`
+		Health   string         `json:"Health"`
+		Epoch    fleet.Epoch    `json:"Epoch"`
+		Sealed   bool           `json:"Sealed"`
+		HasLease bool           `json:"HasLease"`
+		Revision fleet.Revision `json:"Revision"`
+		Members  []fleet.VMID   `json:"Members"`
+		Zones    []ZoneStatus   `json:"Zones"`
 		// Targets are those that this VM owns; all targets of a zone at each of
 		// its VMs would be half a gigabyte for 2,900 VMs.
 		Targets    []TargetStatus `json:"Targets"`
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"os"
 	"time"
@@ -188,7 +187,7 @@
 		return nil, &ResultError{File: name, Err: err}
 	}
 	if r.Workload == "" {
-		return nil, &ResultError{File: name, Err: errors.New("is not a result")}
+		return nil, &ResultError{File: name, Err: &fleet.FieldError{Type: "Result", Field: "Workload", Reason: "must not be empty"}}
 	}
 	return r, nil
 }
--- a/pkg/balancer/answer.go
+++ b/pkg/balancer/answer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bamboowalk.org/bamboowalk/pkg/admission"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
@@ -41,7 +42,7 @@
 		return b.shed(i, p, now, out)
 	}
 	if p.End == Done {
-		b.finish(i, Completed, now)
+		b.finish(i, admission.Completed, now)
 		return out
 	}
 	b.stats.Replies++
@@ -55,7 +56,7 @@
 	switch {
 	case e.state == stateEnded:
 	case p.End == Reset:
-		b.finish(i, Completed, now)
+		b.finish(i, admission.Completed, now)
 	case p.End == Fin:
 		e.flags |= flagFinTarget
 		b.endSide(i, now)
@@ -88,7 +89,7 @@
 			return i
 		}
 		// The VM to which the flow moved is the one that was lost.
-		b.removeFlow(i, Cancelled, now)
+		b.removeFlow(i, admission.Cancelled, now)
 	}
 	i = b.addFlow(p, l, at, now)
 	if i != noEntry {
@@ -115,10 +116,10 @@
 	if e.state == stateEnded {
 		return out
 	}
-	b.freeSlot(e, ShedByTarget, now)
+	b.freeSlot(e, admission.Shed, now)
 	if len(p.Payload) == 0 {
 		// Without the start packet nothing can be started again.
-		b.finish(i, ShedByTarget, now)
+		b.finish(i, admission.Shed, now)
 		return b.refuse(p, fleet.Unknown, CauseShed, out)
 	}
 	wait := retryBase + time.Duration(b.cfg.Random.Int64N(int64(retryMost-retryBase)))
--- a/pkg/balancer/ask.go
+++ b/pkg/balancer/ask.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bamboowalk.org/bamboowalk/pkg/admission"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
@@ -47,7 +48,7 @@
 			if to := b.vms[e.place]; to != p.Header.Origin && b.isPeer(to) {
 				return b.pass(p, to, p.Header, out)
 			}
-			b.removeFlow(i, Cancelled, now)
+			b.removeFlow(i, admission.Cancelled, now)
 		case e.state == stateUnknown && b.listeners.all[e.listener].Kind.Idempotent && p.Start:
 			// A target that is gone ran it, so it may start again elsewhere but
 			// never counts as surely not run.
@@ -59,7 +60,7 @@
 			// The memory of the return stays: it also keeps a late duplicate of
 			// the offer from being accepted.
 		case p.Start && b.isNewRequest(e, p) || b.isStale(e):
-			b.removeFlow(i, Completed, now)
+			b.removeFlow(i, admission.Completed, now)
 		default:
 			b.report(i, p)
 			return b.known(i, p, now, out)
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bamboowalk.org/bamboowalk/pkg/admission"
 	"bamboowalk.org/bamboowalk/pkg/chart"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/placement"
@@ -144,7 +145,7 @@
 	for i := range b.flows.entries {
 		switch b.flows.entries[i].state {
 		case stateAway, stateRefused, stateReturned, stateMoved:
-			b.removeFlow(uint32(i), Cancelled, now)
+			b.removeFlow(uint32(i), admission.Cancelled, now)
 		}
 	}
 	clear(b.replicas)
@@ -320,7 +321,7 @@
 		return noEntry
 	}
 	if i := b.find(p); i != noEntry {
-		b.removeFlow(i, Cancelled, now)
+		b.removeFlow(i, admission.Cancelled, now)
 	}
 	i := b.flows.add(p.hash)
 	if i == noEntry {
@@ -339,7 +340,7 @@
 }
 
 // removeFlow frees an entry, its slot and its held packet.
-func (b *Balancer) removeFlow(i uint32, result Result, now time.Time) {
+func (b *Balancer) removeFlow(i uint32, result admission.Result, now time.Time) {
 	e := &b.flows.entries[i]
 	b.freeSlot(e, result, now)
 	if e.state == stateQueued {
@@ -367,7 +368,7 @@
 }
 
 // freeSlot gives the slot of a flow back.
-func (b *Balancer) freeSlot(e *flowEntry, result Result, now time.Time) {
+func (b *Balancer) freeSlot(e *flowEntry, result admission.Result, now time.Time) {
 	if e.flags&flagSlot == 0 {
 		return
 	}
--- a/pkg/balancer/bench_test.go
+++ b/pkg/balancer/bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 	"unsafe"
 
+	"bamboowalk.org/bamboowalk/pkg/admission"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
@@ -57,12 +58,12 @@
 // figures of the core.
 type wide struct{ slotLimiter }
 
-func newWide(fleet.Target, []fleet.Kind, time.Time) Limiter   { return &wide{} }
-func (*wide) TryStart(Request, time.Time) bool                { return true }
-func (*wide) Finish(fleet.FlowKey, Result, time.Time)         {}
-func (*wide) Adopt(Request, time.Time)                        {}
-func (*wide) Configure(fleet.Target, []fleet.Kind, time.Time) {}
-func (*wide) Next(time.Time) (started, expired []Request)     { return nil, nil }
+func newWide(fleet.Target, []fleet.Kind, time.Time) Limiter             { return &wide{} }
+func (*wide) TryStart(Request, time.Time) bool                          { return true }
+func (*wide) Finish(fleet.FlowKey, admission.Result, time.Time)         {}
+func (*wide) Adopt(Request, time.Time)                                  {}
+func (*wide) Configure(fleet.Target, []fleet.Kind, time.Time) []Request { return nil }
+func (*wide) Next(time.Time) (started, expired []Request)               { return nil, nil }
 
 func filled(t testing.TB, n int) (*Balancer, []fleet.FlowKey, time.Time) {
 	bal, _, now := lone(t, Config{NewLimiter: newWide, MaxFlows: 2 * n}, 15)
--- a/pkg/balancer/config.go
+++ b/pkg/balancer/config.go
@@ -4,22 +4,11 @@
 	"math/rand/v2"
 	"time"
 
+	"bamboowalk.org/bamboowalk/pkg/admission"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/timeline"
 )
 
-// Results of a request, as the Limiter hears of them.
-const (
-	// Completed marks a request whose flow ended.
-	Completed Result = iota
-	// ShedByTarget marks a request that the target refused to run.
-	ShedByTarget
-	// Cancelled marks a request that its caller gave up.
-	Cancelled
-	// Expired marks a request whose deadline passed.
-	Expired
-)
-
 const (
 	defaultMaxFlows      = 1 << 20
 	defaultHeldPackets   = 4096
@@ -32,18 +21,11 @@
 )
 
 type (
-	// Result says how a request ended.
-	Result uint8
-
 	// Request is one request that asks a target for a slot.
-	Request struct {
-		Flow              fleet.FlowKey
-		Kind              fleet.KindName
-		Arrived, Deadline time.Time
-		Bytes             int
-	}
+	Request = admission.Request
 
-	// Limiter is the admission control of one target.
+	// Limiter is the admission control of one target; *admission.Limiter is
+	// one.
 	Limiter interface {
 		// TryStart takes a slot if one is free and nothing that should go first
 		// waits.
@@ -54,15 +36,17 @@
 		// deadline passed.
 		Next(now time.Time) (started, expired []Request)
 		// Finish frees the slot of a started request.
-		Finish(flow fleet.FlowKey, result Result, now time.Time)
+		Finish(flow fleet.FlowKey, result admission.Result, now time.Time)
 		// Cancel removes a queued request; false where it is not queued.
 		Cancel(flow fleet.FlowKey, now time.Time) bool
 		// Adopt counts a request that a predecessor started.
 		Adopt(r Request, now time.Time)
 		// ReportLoad takes the target's own count of requests in flight.
 		ReportLoad(inFlight int, now time.Time)
-		// Configure sets the target's slots and the service's kinds.
-		Configure(target fleet.Target, kinds []fleet.Kind, now time.Time)
+		// Configure sets the target's slots and the service's kinds, and returns
+		// the queued requests that it refuses for that. The core ends these by
+		// their deadline.
+		Configure(target fleet.Target, kinds []fleet.Kind, now time.Time) (refused []Request)
 		// Pressure returns the load from 0 (idle) to 255 (overloaded).
 		Pressure() uint8
 		// InFlight returns the number of started requests.
@@ -80,7 +64,8 @@
 		Self fleet.VMID
 		// Strategy places flows; nil is TargetOwner.
 		Strategy Strategy
-		// NewLimiter makes the admission control of a target that this VM owns.
+		// NewLimiter makes the admission control of a target that this VM owns;
+		// nil is that of pkg/admission.
 		NewLimiter func(t fleet.Target, kinds []fleet.Kind, now time.Time) Limiter
 		// Retries limits retries of shed requests; nil allows none.
 		Retries RetryBudget
@@ -99,10 +84,17 @@
 	}
 )
 
+var _ Limiter = (*admission.Limiter)(nil)
+
 func (c *Config) setDefaults() {
 	if c.Strategy == nil {
 		c.Strategy = TargetOwner{}
 	}
+	if c.NewLimiter == nil {
+		c.NewLimiter = func(t fleet.Target, kinds []fleet.Kind, now time.Time) Limiter {
+			return admission.NewLimiter(t, kinds, now)
+		}
+	}
 	if c.Recorder == nil {
 		c.Recorder = timeline.Discard{}
 	}
--- a/pkg/balancer/flow.go
+++ b/pkg/balancer/flow.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bamboowalk.org/bamboowalk/pkg/admission"
 	"bamboowalk.org/bamboowalk/pkg/chart"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/timeline"
@@ -12,7 +13,7 @@
 func (b *Balancer) known(i uint32, p *Packet, now time.Time, out []Action) []Action {
 	e := &b.flows.entries[i]
 	if p.Start && b.isNewRequest(e, p) || b.isStale(e) {
-		b.removeFlow(i, Completed, now)
+		b.removeFlow(i, admission.Completed, now)
 		return b.unknown(p, now, out)
 	}
 	if p.Start && !e.isElsewhere() && !b.noteInstance(e, p) {
@@ -104,7 +105,7 @@
 // lose marks a flow whose target is gone.
 func (b *Balancer) lose(i uint32, now time.Time) {
 	e := &b.flows.entries[i]
-	b.freeSlot(e, Cancelled, now)
+	b.freeSlot(e, admission.Cancelled, now)
 	b.step(e, eventLose)
 	e.until = tick(now) + b.listeners.all[e.listener].retention
 }
@@ -127,7 +128,7 @@
 	e := &b.flows.entries[i]
 	switch {
 	case p.End == Reset:
-		b.finish(i, Cancelled, now)
+		b.finish(i, admission.Cancelled, now)
 	case p.End == Fin && e.state != stateEnded:
 		e.flags |= flagFinCaller
 		b.endSide(i, now)
@@ -140,19 +141,19 @@
 	e := &b.flows.entries[i]
 	b.step(e, eventEnd)
 	if e.flags&flagFinCaller != 0 && e.flags&flagFinTarget != 0 {
-		b.finish(i, Completed, now)
+		b.finish(i, admission.Completed, now)
 	}
 }
 
 // finish frees the slot of a flow that is over and keeps the entry, so that a
 // late duplicate of the start packet does not run again and the last packets
 // of the connection find their way.
-func (b *Balancer) finish(i uint32, result Result, now time.Time) {
+func (b *Balancer) finish(i uint32, result admission.Result, now time.Time) {
 	e := &b.flows.entries[i]
 	if e.state != stateRunning && e.state != stateEnding {
 		return
 	}
-	if result == Completed && b.cfg.Retries != nil {
+	if result == admission.Completed && b.cfg.Retries != nil {
 		b.cfg.Retries.Earn(now)
 	}
 	b.freeSlot(e, result, now)
@@ -297,7 +298,7 @@
 func (b *Balancer) startQueued(r Request, pl *place, now time.Time, out []Action) []Action {
 	i := b.findKey(r.Flow)
 	if i == noEntry || b.flows.entries[i].state != stateQueued {
-		pl.limiter.Finish(r.Flow, Cancelled, now)
+		pl.limiter.Finish(r.Flow, admission.Cancelled, now)
 		return out
 	}
 	e := &b.flows.entries[i]
@@ -305,8 +306,8 @@
 	p.Flow, p.hash = r.Flow, e.hash
 	if !b.listeners.all[e.listener].Kind.Idempotent && !now.Before(b.leaseUntil) {
 		// A successor may decide about the flow, which ran nowhere yet.
-		pl.limiter.Finish(r.Flow, Cancelled, now)
-		b.removeFlow(i, Cancelled, now)
+		pl.limiter.Finish(r.Flow, admission.Cancelled, now)
+		b.removeFlow(i, admission.Cancelled, now)
 		return b.drop(&p, CauseUnsealed, out)
 	}
 	return b.start(i, &p, pl.target, now, out)
@@ -338,23 +339,23 @@
 	switch e.state {
 	case stateRunning, stateEnding:
 		if passed(t, e.seen+l.idle) {
-			b.finish(i, Expired, now)
+			b.finish(i, admission.Expired, now)
 		} else if passed(t, e.until) && e.flags&flagSlot != 0 {
 			out = b.expire(i, now, out)
 		}
 	case stateEnded:
 		if passed(t, e.until) && passed(t, e.seen+ticks(retentionSlack)) {
-			b.removeFlow(i, Completed, now)
+			b.removeFlow(i, admission.Completed, now)
 		}
 	case stateAway:
 		over := e.flags&flagFinCaller != 0 && passed(t, e.until)
 		if over || passed(t, e.seen+max(l.idle, l.retention)) {
-			b.removeFlow(i, Completed, now)
+			b.removeFlow(i, admission.Completed, now)
 		}
 	case stateQueued:
 	default:
 		if passed(t, e.until) {
-			b.removeFlow(i, Expired, now)
+			b.removeFlow(i, admission.Expired, now)
 		}
 	}
 	return out
@@ -364,7 +365,7 @@
 func (b *Balancer) expire(i uint32, now time.Time, out []Action) []Action {
 	e := &b.flows.entries[i]
 	pl := &b.places.all[e.place]
-	b.finish(i, Expired, now)
+	b.finish(i, admission.Expired, now)
 	if pl.target == nil {
 		return out
 	}
--- a/pkg/balancer/handover.go
+++ b/pkg/balancer/handover.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bamboowalk.org/bamboowalk/pkg/admission"
 	"bamboowalk.org/bamboowalk/pkg/chart"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/placement"
@@ -271,7 +272,7 @@
 		return false
 	}
 	if e.flags&flagSlot != 0 {
-		b.freeSlot(e, Completed, now)
+		b.freeSlot(e, admission.Completed, now)
 	}
 	l := &b.listeners.all[e.listener]
 	b.move(e, pl.movedTo-1, b.view.Epoch)
--- a/pkg/balancer/held.go
+++ b/pkg/balancer/held.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bamboowalk.org/bamboowalk/pkg/admission"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
@@ -181,7 +182,7 @@
 		shed := e.flags&flagRetried != 0
 		once := !b.listeners.all[e.listener].Kind.Idempotent
 		b.step(e, eventCancel)
-		b.removeFlow(i, Cancelled, now)
+		b.removeFlow(i, admission.Cancelled, now)
 		if shed && once {
 			// A target had it already; it is not forwarded to a second one.
 			out = b.drop(&p, CauseShed, out)
--- a/pkg/balancer/offer.go
+++ b/pkg/balancer/offer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bamboowalk.org/bamboowalk/pkg/admission"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
@@ -56,7 +57,7 @@
 	r := b.cfg.Strategy.Route(b.placement, l.Service, e.hash)
 	overflowed := b.places.all[e.place].zone != ""
 	if r.First.Target == nil || r.Decider != b.self {
-		b.removeFlow(i, Cancelled, now)
+		b.removeFlow(i, admission.Cancelled, now)
 		return b.unknown(p, now, out)
 	}
 	if e.flags&flagReplicated != 0 {
@@ -80,7 +81,7 @@
 		if !b.forgets(i, p) {
 			return b.offeredAgain(i, p, now, out)
 		}
-		b.removeFlow(i, Cancelled, now)
+		b.removeFlow(i, admission.Cancelled, now)
 	}
 	l := b.view.Listener(p.Flow.VIP, p.Flow.Protocol)
 	if l == nil {
@@ -173,7 +174,7 @@
 		if !b.forgets(i, p) {
 			return b.offeredAgain(i, p, now, out)
 		}
-		b.removeFlow(i, Cancelled, now)
+		b.removeFlow(i, admission.Cancelled, now)
 	}
 	l := b.view.Listener(p.Flow.VIP, p.Flow.Protocol)
 	if l == nil {
@@ -213,7 +214,7 @@
 		if !b.forgets(i, p) {
 			return b.offeredAgain(i, p, now, out)
 		}
-		b.removeFlow(i, Cancelled, now)
+		b.removeFlow(i, admission.Cancelled, now)
 	}
 	l := b.view.Listener(p.Flow.VIP, p.Flow.Protocol)
 	if l == nil {
--- a/pkg/balancer/route.go
+++ b/pkg/balancer/route.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bamboowalk.org/bamboowalk/pkg/admission"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/timeline"
 )
@@ -309,9 +310,9 @@
 func (b *Balancer) refuseFlow(i uint32, p *Packet, cause Cause, now time.Time, out []Action) []Action {
 	e := &b.flows.entries[i]
 	l := &b.listeners.all[e.listener]
-	b.freeSlot(e, ShedByTarget, now)
+	b.freeSlot(e, admission.Shed, now)
 	if e.flags&flagSure == 0 || !b.stillSure(e, now) || b.refusals >= b.cfg.MaxFlows/2 {
-		b.removeFlow(i, Cancelled, now)
+		b.removeFlow(i, admission.Cancelled, now)
 		return b.drop(p, cause, out)
 	}
 	b.step(e, eventRefuse)
@@ -348,7 +349,7 @@
 			b.flows.entries[i].until = tick(now) + b.listeners.all[b.flows.entries[i].listener].retention
 			return b.refuse(p, fleet.NotRun, CauseRefused, out)
 		case stateMoved, stateReturned:
-			b.removeFlow(i, Cancelled, now)
+			b.removeFlow(i, admission.Cancelled, now)
 		default:
 			return b.known(i, p, now, out)
 		}
--- a/pkg/balancer/sim_test.go
+++ b/pkg/balancer/sim_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"bamboowalk.org/bamboowalk/pkg/admission"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/timeline"
 )
@@ -672,14 +673,17 @@
 	return started, expired
 }
 
-func (l *slotLimiter) Finish(f fleet.FlowKey, _ Result, _ time.Time) { delete(l.inside, f) }
+func (l *slotLimiter) Finish(f fleet.FlowKey, _ admission.Result, _ time.Time) { delete(l.inside, f) }
 func (l *slotLimiter) Cancel(f fleet.FlowKey, _ time.Time) bool {
 	n := len(l.queue)
 	l.queue = slices.DeleteFunc(l.queue, func(r Request) bool { return r.Flow == f })
 	return len(l.queue) < n
 }
-func (l *slotLimiter) Adopt(r Request, _ time.Time)                          { l.inside[r.Flow] = true }
-func (l *slotLimiter) ReportLoad(int, time.Time)                             {}
-func (l *slotLimiter) Configure(t fleet.Target, _ []fleet.Kind, _ time.Time) { l.slots = t.Slots }
-func (l *slotLimiter) Pressure() uint8                                       { return uint8(min(255, 256*len(l.inside)/max(l.slots, 1))) }
-func (l *slotLimiter) InFlight() int                                         { return len(l.inside) }
+func (l *slotLimiter) Adopt(r Request, _ time.Time) { l.inside[r.Flow] = true }
+func (l *slotLimiter) ReportLoad(int, time.Time)    {}
+func (l *slotLimiter) Configure(t fleet.Target, _ []fleet.Kind, _ time.Time) []Request {
+	l.slots = t.Slots
+	return nil
+}
+func (l *slotLimiter) Pressure() uint8 { return uint8(min(255, 256*len(l.inside)/max(l.slots, 1))) }
+func (l *slotLimiter) InFlight() int   { return len(l.inside) }
