Test that the daemon serves the metrics of its Membership

Cause: no test covered the registration of a Membership that is a prometheus.Collector.

Change: a test serves /metrics with such a Membership.

Conclusion: the test passes with -race.

--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -167,3 +167,22 @@
 	}
 	return names
 }
+
+// measured is a Membership with a metric of its own.
+type measured struct {
+	Membership
+	prometheus.Collector
+}
+
+// Guards against metrics of a Membership that the daemon does not serve.
+func TestMembershipMetrics(t *testing.T) {
+	d := metricsDaemon(t)
+	d.Membership = measured{Collector: prometheus.NewGauge(prometheus.GaugeOpts{Name: "bamboowalk_test", Help: "Test."})}
+	w := httptest.NewRecorder()
+	d.handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, want := range []string{"bamboowalk_test 0\n", "bamboowalk_healthy 0\n"} {
+		if !strings.Contains(w.Body.String(), want) {
+			t.Errorf("got no %q", want)
+		}
+	}
+}
