Forward announcements to members learnt through membership

Trial with 20 entry processes: an announcement to an entry VM that does not own the target was refused with NoOwner, because membership datagrams carry no HTTP address, so that members of a view had none. Only announcements that happened to reach the owner were taken.

The view now takes a member's HTTP address from the zone's document. The fleet test announces the target to every entry VM in turn, without retries, and fails without the change. freePort tries no port twice in a process and starts at a block of its own, after one of four runs of the test chose a port twice.

Conclusion: a target can announce itself to any entry VM of its zone, provided that the zone's document names the HTTP address of each entry VM.

--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -98,8 +98,11 @@
 
 func (c *Cluster) buildView(zones []fleet.Zone, members []fleet.VM, config *settings.Config, now time.Time) *fleet.View {
 	built, err := c.leases.BuildView(zones, config.Listeners, config.Revision)
-	if err == nil && members != nil {
-		built.Members, built.Sealed = members, false
+	if err == nil {
+		if members != nil {
+			built.Members, built.Sealed = members, false
+		}
+		built.Members = withHTTP(built.Members, config.Zone(c.Zone))
 		err = built.Freeze()
 	}
 	if err != nil {
@@ -110,6 +113,23 @@
 	return built
 }
 
+// withHTTP adds the HTTP addresses that the settings name, to which announcements
+// are forwarded. Membership does not carry them, since its datagrams are small.
+func withHTTP(members []fleet.VM, zone *settings.ZoneConfig) []fleet.VM {
+	if zone == nil {
+		return members
+	}
+	members = slices.Clone(members)
+	for i := range members {
+		m := &members[i]
+		j := slices.IndexFunc(zone.EntryVMs, func(vm fleet.VM) bool { return vm.ID == m.ID })
+		if j >= 0 && !m.HTTP.IsValid() {
+			m.HTTP = zone.EntryVMs[j].HTTP
+		}
+	}
+	return members
+}
+
 // setCouncil follows the council in the settings.
 func (c *Cluster) setCouncil(config *settings.Config, now time.Time) {
 	z := config.Zone(c.Zone)
--- a/internal/demo/fleet_test.go
+++ b/internal/demo/fleet_test.go
@@ -211,16 +211,18 @@
 	return ""
 }
 
-func (f *fleetProcesses) announce() {
+// announce announces a target to one entry VM, which forwards it to the owner.
+func (f *fleetProcesses) announce(vm fleet.VM) fleet.TargetID {
 	f.t.Helper()
-	a := &announce.Announcement{Service: counterService, Address: netip.MustParseAddrPort("127.0.0.1:9"), Slots: 3, ConnectionLimit: 100, State: announce.Ready, Credential: credential}
-	var err error
-	for begin := time.Now(); time.Since(begin) < fleetWait; time.Sleep(fleetPoll) {
-		if _, err = announce.Announce(f.t.Context(), http.DefaultClient, f.vms[0].HTTP, a); err == nil {
-			return
-		}
+	a := &announce.Announcement{
+		Service: counterService, Address: netip.MustParseAddrPort("127.0.0.1:9"),
+		Slots: 3, ConnectionLimit: 100, State: announce.Ready, Credential: credential,
+	}
+	grant, err := announce.Announce(f.t.Context(), http.DefaultClient, vm.HTTP, a)
+	if err != nil {
+		f.t.Errorf("announcement to %s: %v", vm.ID, err)
 	}
-	f.t.Fatalf("announcement: %v", err)
+	return grant.Target
 }
 
 // Guards against a fleet that does not form when its processes are started by
@@ -241,10 +243,15 @@
 	f.wait("the first settings are in force", func(s *operator.FleetStatus) string {
 		return f.inForce(s, revision, fleetEntryVMs, 0)
 	})
-	f.announce()
+	target := f.announce(f.vms[0])
 	f.wait("all entry VMs know the target", func(s *operator.FleetStatus) string {
 		return f.inForce(s, revision, fleetEntryVMs, 1)
 	})
+	for _, vm := range f.vms {
+		if got := f.announce(vm); got != target {
+			t.Errorf("announcement repeated to %s: got target %v, want %v", vm.ID, got, target)
+		}
+	}
 
 	restarted, killed := f.replicas[0].ID, f.vms[fleetKilled]
 	f.kill(restarted)
--- a/internal/demo/process_test.go
+++ b/internal/demo/process_test.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -35,14 +35,20 @@
 	views   []*fleet.View
 }
 
+// portsTried counts the ports that freePort tried. Each process starts at its
+// own block and tries no port twice, since a port is not in use yet when the
+// next one is looked for.
+var portsTried atomic.Int64
+
 // freePort returns a port that is free for UDP and TCP. It is below the range
 // from which the kernel chooses ports, since a process that restarts needs its
 // port again, and connections of other processes must not take it meanwhile.
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
-	const first, count = 20000, 12000
+	const first, count, block = 20000, 12000, 40
 	for range 100 {
-		address := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))
+		port := first + (os.Getpid()*block+int(portsTried.Add(1)))%count
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		tcp, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
