Show voting council VMs, and drop doubled incarnations of a target

Cause: a rolling restart could not see when a council VM votes again; a target announced to several VMs at once, before the first view names it, got several incarnations, so that its slots counted twice.

Conclusion: TestTwoIncarnations guards the second.

--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -240,6 +240,28 @@
 	})
 }
 
+// Guards against a target whose slots count twice, because two VMs took it as
+// new at the same time and gave it an incarnation each.
+func TestTwoIncarnations(t *testing.T) {
+	target := func(n fleet.Incarnation) fleet.Target {
+		return fleet.Target{ID: fleet.TargetID{Service: service, Address: address, Incarnation: n}, Zone: "Monza", Slots: 3, ConnectionLimit: 9, State: fleet.TargetReady}
+	}
+	r := newRegistry(t, "a", "a", target(1))
+	if got := r.Targets(); len(got) != 1 {
+		t.Fatalf("targets: got %v, want one", got)
+	}
+	v := &fleet.View{Zone: "Monza", Targets: []fleet.Target{target(1), target(2)}}
+	if err := v.Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	if !r.SetView(v, start) {
+		t.Error("SetView: got false, want a dropped target")
+	}
+	if got := r.Targets(); len(got) != 1 || got[0].ID.Incarnation != 2 {
+		t.Errorf("targets: got %v, want the second incarnation only", got)
+	}
+}
+
 // Guards against a target whose announcements are refused after its owner
 // changed while health checks spoke against it, and against a verdict that a
 // renewal overrules.
--- a/internal/announce/registry.go
+++ b/internal/announce/registry.go
@@ -155,13 +155,26 @@
 }
 
 // SetView takes over the leases of targets that this VM now owns, each for a
-// whole lease time, and drops those that it no longer owns.
-func (r *Registry) SetView(v *fleet.View, now time.Time) {
+// whole lease time, and drops those that it no longer owns. A target that two
+// VMs took as new at the same time has two incarnations; the lower one is
+// dropped, since its slots would count twice. SetView reports whether it
+// dropped one.
+func (r *Registry) SetView(v *fleet.View, now time.Time) bool {
 	r.view = v
 	r.init()
+	newest := make(map[netip.AddrPort]fleet.Incarnation)
+	for i := range v.Targets {
+		id := v.Targets[i].ID
+		newest[id.Address] = max(newest[id.Address], id.Incarnation)
+	}
+	dropped := false
 	for address, e := range r.entries {
-		if r.Owner(v, e.target.ID.Key()) != r.Self {
+		switch {
+		case r.Owner(v, e.target.ID.Key()) != r.Self:
+			delete(r.entries, address)
+		case e.target.ID.Incarnation < newest[address]:
 			delete(r.entries, address)
+			dropped = true
 		}
 	}
 	for i := range v.Targets {
@@ -169,8 +182,12 @@
 		if r.entries[t.ID.Address] != nil || t.State == fleet.TargetGone || r.Owner(v, t.ID.Key()) != r.Self {
 			continue
 		}
+		if t.ID.Incarnation < newest[t.ID.Address] {
+			continue
+		}
 		r.entries[t.ID.Address] = &entry{target: *t, state: lifecycle.MustState(string(t.State)), expires: now.Add(r.LeaseTime), adopted: true}
 	}
+	return dropped
 }
 
 func (r *Registry) init() {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -95,6 +95,7 @@
 		// one, which in turn waits for them to apply views.
 		reported atomic.Pointer[[]fleet.Target]
 		leaving  atomic.Bool
+		voting   atomic.Bool
 	}
 
 	// survey says what a survey was made of.
@@ -139,6 +140,7 @@
 var (
 	_ entry.Membership = (*Cluster)(nil)
 	_ entry.Messenger  = (*Cluster)(nil)
+	_ entry.Voter      = (*Cluster)(nil)
 )
 
 // New prepares the channels of a cluster whose fields the caller then sets.
@@ -203,6 +205,7 @@
 	if c.leaving.Load() {
 		c.members.Leave(now)
 	}
+	c.voting.Store(c.leases.Voting())
 	c.members.SetFit(c.leases.Connected(now))
 	c.members.SetEpoch(c.leases.View().Epoch)
 	if c.surveyDue(now) {
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -211,6 +211,9 @@
 	return out
 }
 
+// Voting reports whether this VM is a council member that votes.
+func (c *Cluster) Voting() bool { return c.voting.Load() }
+
 // Status returns what this VM last knew; it is nil before the first view.
 func (c *Cluster) Status() *Status { return c.status.Load() }
 
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -284,8 +284,11 @@
 	}
 	if u.View != nil {
 		d.adapter.SetView(u.View, now)
-		d.registry.SetView(u.View, now)
+		dropped := d.registry.SetView(u.View, now)
 		d.view.Store(u.View)
+		if dropped {
+			d.report(d.registry)
+		}
 		d.checks.prober.SetView(u.View, d.checks.endpoints, now)
 		d.record(timeline.Event{Kind: timeline.KindView, Name: "Applied", Epoch: u.View.Epoch})
 	}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -16,12 +16,15 @@
 type (
 	// Status is what an entry VM knows of itself and its zone.
 	Status struct {
-		ID       fleet.VMID     `json:"ID"`
-		Zone     fleet.ZoneID   `json:"Zone"`
-		Health   string         `json:"Health"`
-		Epoch    fleet.Epoch    `json:"Epoch"`
-		Sealed   bool           `json:"Sealed"`
-		HasLease bool           `json:"HasLease"`
+		ID       fleet.VMID   `json:"ID"`
+		Zone     fleet.ZoneID `json:"Zone"`
+		Health   string       `json:"Health"`
+		Epoch    fleet.Epoch  `json:"Epoch"`
+		Sealed   bool         `json:"Sealed"`
+		HasLease bool         `json:"HasLease"`
+		// Voting is set at a council member that votes; a rolling restart waits
+		// for it before the next one.
+		Voting   bool           `json:"Voting"`
 		Revision fleet.Revision `json:"Revision"`
 		Members  []fleet.VMID   `json:"Members"`
 		Zones    []ZoneStatus   `json:"Zones"`
@@ -35,6 +38,11 @@
 		HeldStarts int            `json:"HeldStarts"`
 	}
 
+	// Voter is a Membership that knows whether this VM votes.
+	Voter interface {
+		Voting() bool
+	}
+
 	// ZoneStatus is another zone as this VM sees it.
 	ZoneStatus struct {
 		ID        fleet.ZoneID            `json:"ID"`
@@ -66,6 +74,9 @@
 	for _, shard := range d.shards {
 		s.add(shard.stats.Load())
 	}
+	if voter, ok := d.Membership.(Voter); ok {
+		s.Voting = voter.Voting()
+	}
 	v := d.view.Load()
 	if v == nil {
 		return s
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -127,10 +127,10 @@
 	for _, v := range s.Control {
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", v.ID, v.Role, v.Term, v.Commit, v.Applied, v.Revision)
 	}
-	fmt.Fprintf(w, "ENTRY VM\tZONE\tHEALTH\tEPOCH\tSEALED\tLEASE\tREVISION\tMEMBERS\tFLOWS\tREFUSED\tDROPPED\tUNREACHABLE ZONES\n")
+	fmt.Fprintf(w, "ENTRY VM\tZONE\tHEALTH\tEPOCH\tSEALED\tLEASE\tVOTES\tREVISION\tMEMBERS\tFLOWS\tREFUSED\tDROPPED\tUNREACHABLE ZONES\n")
 	for i := range s.Entry {
 		v := &s.Entry[i]
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%v\t%v\t%d\t%d\t%d\t%d\t%d\t%s\n", v.ID, v.Zone, v.Health, v.Epoch, v.Sealed, v.HasLease,
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%v\t%v\t%v\t%d\t%d\t%d\t%d\t%d\t%s\n", v.ID, v.Zone, v.Health, v.Epoch, v.Sealed, v.HasLease, v.Voting,
 			v.Revision, len(v.Members), v.Flows, v.Refused, v.Dropped, strings.Join(v.CutZones(), " "))
 	}
 	s.printServices(w)
