Count the known targets in the status of an entry VM

Cause: since a VM lists only the targets that it owns, the test of real processes could no longer see whether each VM knows a target.

Change: /Status has KnownTargets; the test checks it at each VM, and besides that every target has exactly one owner, which it did not check before.

--- a/internal/demo/fleet_test.go
+++ b/internal/demo/fleet_test.go
@@ -202,11 +202,16 @@
 	if len(s.Entry) != members {
 		return fmt.Sprintf("%d entry VMs answered, want %d: %v", len(s.Entry), members, s.Unreachable)
 	}
+	owned := 0
 	for i := range s.Entry {
 		v := &s.Entry[i]
-		if v.Health != "healthy" || v.Revision < revision || !v.Sealed || !v.HasLease || len(v.Members) != members || len(v.Targets) != targets {
+		if v.Health != "healthy" || v.Revision < revision || !v.Sealed || !v.HasLease || len(v.Members) != members || v.KnownTargets != targets {
 			return fmt.Sprintf("%s: got %+v, want healthy, revision %d, sealed, a lease, %d members, %d targets", v.ID, *v, revision, members, targets)
 		}
+		owned += len(v.Targets)
+	}
+	if owned != targets {
+		return fmt.Sprintf("%d targets have an owner, want %d, each with one", owned, targets)
 	}
 	return ""
 }
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -28,6 +28,8 @@
 		Revision fleet.Revision `json:"Revision"`
 		Members  []fleet.VMID   `json:"Members"`
 		Zones    []ZoneStatus   `json:"Zones"`
+		// KnownTargets is the number of targets in the view.
+		KnownTargets int `json:"KnownTargets"`
 		// Targets are those that this VM owns; all targets of a zone at each of
 		// its VMs would be half a gigabyte for 2,900 VMs.
 		Targets    []TargetStatus `json:"Targets"`
@@ -90,6 +92,7 @@
 		z := &v.Zones[i]
 		s.Zones = append(s.Zones, ZoneStatus{ID: z.ID, State: z.State, Reachable: z.Reachable, VMs: len(z.Members), Spare: z.Spare})
 	}
+	s.KnownTargets = len(v.Targets)
 	owners := placement.New(v)
 	for i := range v.Targets {
 		t := &v.Targets[i]
