Require the HTTP address of entry VMs, and let zones of 180 VMs fit

Cause: a zone document without HTTP addresses was accepted, though announcements can't be forwarded to such VMs; the limit of 16 KiB a document does not hold a zone of 180 VMs (110 bytes each).

Change: HTTP is checked; a document may have 64 KiB.

--- a/pkg/settings/document.go
+++ b/pkg/settings/document.go
@@ -185,8 +185,8 @@
 	known := make(map[fleet.VMID]bool)
 	for i, vm := range z.EntryVMs {
 		key := fmt.Sprintf("EntryVMs[%d]", i)
-		if vm.ID == "" || !vm.Control.IsValid() || !vm.Data.IsValid() {
-			r.add(key, "must have ID, Control and Data")
+		if vm.ID == "" || !vm.Control.IsValid() || !vm.Data.IsValid() || !vm.HTTP.IsValid() {
+			r.add(key, "must have ID, Control, Data and HTTP")
 		}
 		if known[vm.ID] {
 			r.add(key+".ID", "stands twice")
--- a/pkg/settings/limit.go
+++ b/pkg/settings/limit.go
@@ -8,8 +8,9 @@
 
 // Limits of the settings tree.
 const (
-	// MaxDocumentSize is the size of one document in bytes.
-	MaxDocumentSize = 16 << 10
+	// MaxDocumentSize is the size of one document in bytes. The document of a
+	// zone with 180 entry VMs has about 20 KiB.
+	MaxDocumentSize = 64 << 10
 	// MaxSubtreeSize is the size of a team's documents in bytes.
 	MaxSubtreeSize = 2 << 20
 	// WritesPerSecond is the sustained rate of one team's writes.
