Name things in the core by usual terms, and join a repeated preamble

Cause: stranger, comeHome, takeBack and their like are no terms of the field; three handlers of offers began with the same ten lines.

Change: unknownFlow, adoptAway, decideAgain, returnOffer; newHere.

Conclusion: behaviour is as before; the core's tests pass.

--- a/pkg/balancer/answer.go
+++ b/pkg/balancer/answer.go
@@ -83,7 +83,7 @@
 		e := &b.flows.entries[i]
 		switch {
 		case e.state == stateAway && e.place == at:
-			b.comeHome(i, now)
+			b.adoptAway(i, now)
 			return i
 		case e.state != stateMoved || b.isPeer(b.vms[e.place]):
 			return i
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -57,17 +57,17 @@
 	batches  batches
 	outbox   outbox
 
-	strangers [strangerSlots]stranger
-	asks      []askPlace   // scratch space of askList
-	joiners   []fleet.VMID // new members that lack the history
-	idle      uint32       // longest idle timeout or retention time, in ms
-	refusals  int          // entries in Refused and Returned
-	lapsed    bool         // the lease ended since the last change of epoch
-	sweepAt   int
-	lastSweep time.Time
-	lastTick  time.Time
-	quiet     time.Time // end of the time after a pause
-	stats     Stats
+	unknownFlows [unknownSlots]unknownFlow
+	asks         []askPlace   // scratch space of askList
+	joiners      []fleet.VMID // new members that lack the history
+	idle         uint32       // longest idle timeout or retention time, in ms
+	refusals     int          // entries in Refused and Returned
+	lapsed       bool         // the lease ended since the last change of epoch
+	sweepAt      int
+	lastSweep    time.Time
+	lastTick     time.Time
+	quiet        time.Time // end of the time after a pause
+	stats        Stats
 }
 
 // New returns a Balancer that drops every packet until SetView.
--- a/pkg/balancer/history.go
+++ b/pkg/balancer/history.go
@@ -202,7 +202,7 @@
 		age := ticks(now.Sub(v.ended))
 		step := stepOf(v.m.View(), b.view, age)
 		m.Steps = append(m.Steps, step)
-		if !v.m.SameZones(b.placement) || len(encodeControl0(m)) > MaxControlSize {
+		if !v.m.SameZones(b.placement) || len(encodeUnbounded(m)) > MaxControlSize {
 			// What does not fit, and changes of zones, are not told.
 			m.Steps = m.Steps[:len(m.Steps)-1]
 			m.Covers = age
@@ -212,8 +212,8 @@
 	return m
 }
 
-// encodeControl0 encodes a message that may be too long.
-func encodeControl0(m controlMessage) []byte { return m.appendBody(make([]byte, controlHeaderSize)) }
+// encodeUnbounded encodes a message that may be too long.
+func encodeUnbounded(m controlMessage) []byte { return m.appendBody(make([]byte, controlHeaderSize)) }
 
 // stepOf returns the difference of an earlier view's candidates to the new
 // ones.
--- a/pkg/balancer/offer.go
+++ b/pkg/balancer/offer.go
@@ -33,16 +33,16 @@
 	case owner != b.self:
 		return b.pass(p, owner, h, out)
 	case !offer:
-		b.comeHome(i, now)
+		b.adoptAway(i, now)
 		return b.toTarget(i, p, now, out)
 	case b.tryStart(pl, b.request(p, &b.listeners.all[e.listener].Listener, now), now):
 		return b.start(i, p, pl.target, now, out)
 	}
-	return b.takeBack(i, p, now, out)
+	return b.decideAgain(i, p, now, out)
 }
 
-// comeHome makes a flow run here whose place this VM has come to own.
-func (b *Balancer) comeHome(i uint32, now time.Time) {
+// adoptAway makes a flow run here whose place this VM has come to own.
+func (b *Balancer) adoptAway(i uint32, now time.Time) {
 	e := &b.flows.entries[i]
 	if e.flags&flagReplicated != 0 {
 		b.unreplicate(e)
@@ -50,8 +50,8 @@
 	b.adoptEntry(i, eventForward, now)
 }
 
-// takeBack decides again about a flow that the other place did not accept.
-func (b *Balancer) takeBack(i uint32, p *Packet, now time.Time, out []Action) []Action {
+// decideAgain decides again about a flow that the other place did not accept.
+func (b *Balancer) decideAgain(i uint32, p *Packet, now time.Time, out []Action) []Action {
 	e := &b.flows.entries[i]
 	l := &b.listeners.all[e.listener]
 	r := b.cfg.Strategy.Route(b.placement, l.Service, e.hash)
@@ -75,17 +75,27 @@
 	return b.enqueue(i, p, now, out)
 }
 
-// offered handles ToSecond and Overflow at the owner of the offered place.
-func (b *Balancer) offered(p *Packet, now time.Time, out []Action) []Action {
+// newHere returns the listener of a flow that is new to this VM. It handles the
+// packet of a flow that it holds, or without a listener, and returns nil.
+func (b *Balancer) newHere(p *Packet, now time.Time, out []Action) (*fleet.Listener, []Action) {
 	if i := b.find(p); i != noEntry {
 		if !b.forgets(i, p) {
-			return b.offeredAgain(i, p, now, out)
+			return nil, b.offeredAgain(i, p, now, out)
 		}
 		b.removeFlow(i, admission.Cancelled, now)
 	}
 	l := b.view.Listener(p.Flow.VIP, p.Flow.Protocol)
 	if l == nil {
-		return b.drop(p, CauseNoListener, out)
+		return nil, b.drop(p, CauseNoListener, out)
+	}
+	return l, out
+}
+
+// offered handles ToSecond and Overflow at the owner of the offered place.
+func (b *Balancer) offered(p *Packet, now time.Time, out []Action) []Action {
+	l, out := b.newHere(p, now, out)
+	if l == nil {
+		return out
 	}
 	if !p.starts() {
 		return b.drop(p, CauseUnknownFlow, out)
@@ -119,7 +129,7 @@
 	b.step(e, eventReturn)
 	e.epoch = uint32(b.view.Epoch)
 	e.until = tick(now) + b.listeners.all[e.listener].retention
-	return b.giveBack(p, out)
+	return b.returnOffer(p, out)
 }
 
 // forgets reports whether an entry no longer binds a packet that the owner of
@@ -138,13 +148,13 @@
 
 func (b *Balancer) offeredAgain(i uint32, p *Packet, now time.Time, out []Action) []Action {
 	if b.flows.entries[i].state == stateReturned {
-		return b.giveBack(p, out)
+		return b.returnOffer(p, out)
 	}
 	return b.known(i, p, now, out)
 }
 
-// giveBack answers an offer; the epoch tells the other VM which offer.
-func (b *Balancer) giveBack(p *Packet, out []Action) []Action {
+// returnOffer answers an offer; the epoch tells the other VM which offer.
+func (b *Balancer) returnOffer(p *Packet, out []Action) []Action {
 	b.stats.Returned++
 	h := PassHeader{Mode: Returned, Target: p.Header.Target, Epoch: p.Header.Epoch, Origin: p.Header.Origin}
 	if at, ok := b.places.at[h.Target]; ok && b.places.all[at].limiter != nil {
@@ -165,20 +175,14 @@
 	if e.state != stateAway || stale || p.Start && e.instance != p.Instance {
 		return b.drop(p, CauseStale, out)
 	}
-	return b.takeBack(i, p, now, out)
+	return b.decideAgain(i, p, now, out)
 }
 
 // established handles a packet of a flow that is at a place of this VM.
 func (b *Balancer) established(p *Packet, now time.Time, out []Action) []Action {
-	if i := b.find(p); i != noEntry {
-		if !b.forgets(i, p) {
-			return b.offeredAgain(i, p, now, out)
-		}
-		b.removeFlow(i, admission.Cancelled, now)
-	}
-	l := b.view.Listener(p.Flow.VIP, p.Flow.Protocol)
+	l, out := b.newHere(p, now, out)
 	if l == nil {
-		return b.drop(p, CauseNoListener, out)
+		return out
 	}
 	if p.Header.Target == zoneKey(b.view.Zone) {
 		return b.establishedZone(p, l, now, out)
@@ -210,15 +214,9 @@
 
 // overflowed handles the offer of another zone.
 func (b *Balancer) overflowed(p *Packet, now time.Time, out []Action) []Action {
-	if i := b.find(p); i != noEntry {
-		if !b.forgets(i, p) {
-			return b.offeredAgain(i, p, now, out)
-		}
-		b.removeFlow(i, admission.Cancelled, now)
-	}
-	l := b.view.Listener(p.Flow.VIP, p.Flow.Protocol)
+	l, out := b.newHere(p, now, out)
 	if l == nil {
-		return b.drop(p, CauseNoListener, out)
+		return out
 	}
 	r := b.cfg.Strategy.Route(b.placement, l.Service, p.hash)
 	switch {
--- a/pkg/balancer/outbox.go
+++ b/pkg/balancer/outbox.go
@@ -77,14 +77,14 @@
 	if len(o.messages) == 0 {
 		return out
 	}
-	tired := false
+	exhausted := false
 	for i := range o.messages {
 		m := &o.messages[i]
 		if now.Before(m.due) {
 			continue
 		}
 		if m.tries >= maxTries {
-			tired = true
+			exhausted = true
 			continue
 		}
 		if o.tokens < 0 {
@@ -92,7 +92,7 @@
 		}
 		out = b.transmit(m, now, out)
 	}
-	if tired {
+	if exhausted {
 		o.filter(func(m *outMessage) bool { return m.tries < maxTries })
 	}
 	return out
--- a/pkg/balancer/route.go
+++ b/pkg/balancer/route.go
@@ -13,17 +13,17 @@
 const replicaStep = 0
 
 const (
-	// strangerSlots bounds the unknown flows that are remembered; a flood of
+	// unknownSlots bounds the unknown flows that are remembered; a flood of
 	// garbage overwrites them and gets no resets.
-	strangerSlots = 4096
-	// strangerLeast and strangerMost bound the age at which an unknown flow is
+	unknownSlots = 4096
+	// unknownLeast and unknownMost bound the age at which an unknown flow is
 	// reset.
-	strangerLeast = time.Second
-	strangerMost  = 10 * time.Second
+	unknownLeast = time.Second
+	unknownMost  = 10 * time.Second
 )
 
-// stranger is an unknown flow and when its first packet came.
-type stranger struct {
+// unknownFlow is an unknown flow and when its first packet came.
+type unknownFlow struct {
 	hash  fleet.FlowHash
 	first uint32
 }
@@ -153,13 +153,13 @@
 // view may be older than the flow, so it drops the packets of the first
 // second, in which a newer view arrives, and never resets without a lease.
 func (b *Balancer) refuseUnknown(p *Packet, cause Cause, now time.Time, out []Action) []Action {
-	s := &b.strangers[uint32(p.hash)%strangerSlots]
+	s := &b.unknownFlows[uint32(p.hash)%unknownSlots]
 	age := tick(now) - s.first
-	if s.hash != p.hash || age > ticks(strangerMost) {
-		*s = stranger{hash: p.hash, first: tick(now)}
+	if s.hash != p.hash || age > ticks(unknownMost) {
+		*s = unknownFlow{hash: p.hash, first: tick(now)}
 		return b.drop(p, cause, out)
 	}
-	if age < ticks(strangerLeast) || !now.Before(b.leaseUntil) {
+	if age < ticks(unknownLeast) || !now.Before(b.leaseUntil) {
 		return b.drop(p, cause, out)
 	}
 	return b.refuse(p, fleet.Unknown, cause, out)
