Tell other zones the free slots of a VM's targets

The cluster computed a status at each lease renewal that nobody read.

The demo is ready only once every VM sees the free slots of other zones, which it never did before.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -89,13 +89,13 @@
 		zones    []fleet.Zone
 		// zonesSeen rises with each change of zones.
 		zonesSeen uint64
-		status    atomic.Pointer[Status]
 		current   atomic.Pointer[fleet.View]
 		// reported and leaving come from goroutines that must not wait for this
 		// one, which in turn waits for them to apply views.
 		reported atomic.Pointer[[]fleet.Target]
 		leaving  atomic.Bool
 		voting   atomic.Bool
+		spare    atomic.Pointer[map[fleet.ServiceID]int]
 	}
 
 	// survey says what a survey was made of.
@@ -119,28 +119,13 @@
 		until      time.Time
 		council    uint32
 	}
-
-	// Status is what a VM knows of its zone and the settings.
-	Status struct {
-		State      string
-		Epoch      fleet.Epoch
-		Sealed     bool
-		Voting     bool
-		Proposer   bool
-		Revision   fleet.Revision
-		Council    []fleet.VMID
-		Members    []membership.Member
-		Zones      []fleet.Zone
-		Membership membership.Stats
-		Lease      lease.Stats
-		Spread     spread.Stats
-	}
 )
 
 var (
-	_ entry.Membership = (*Cluster)(nil)
-	_ entry.Messenger  = (*Cluster)(nil)
-	_ entry.Voter      = (*Cluster)(nil)
+	_ entry.Membership    = (*Cluster)(nil)
+	_ entry.Messenger     = (*Cluster)(nil)
+	_ entry.SpareReporter = (*Cluster)(nil)
+	_ entry.Voter         = (*Cluster)(nil)
 )
 
 // New prepares the channels of a cluster whose fields the caller then sets.
@@ -206,6 +191,9 @@
 		c.members.Leave(now)
 	}
 	c.voting.Store(c.leases.Voting())
+	if spare := c.spare.Swap(nil); spare != nil {
+		c.members.SetSpare(*spare)
+	}
 	c.members.SetFit(c.leases.Connected(now))
 	c.members.SetEpoch(c.leases.View().Epoch)
 	if c.surveyDue(now) {
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -40,7 +40,6 @@
 		c.remember(u.View, v, config, zones, members)
 	}
 	c.last.until = u.LeaseUntil
-	c.setStatus(now)
 	c.apply(u)
 }
 
@@ -214,21 +213,9 @@
 // Voting reports whether this VM is a council member that votes.
 func (c *Cluster) Voting() bool { return c.voting.Load() }
 
-// Status returns what this VM last knew; it is nil before the first view.
-func (c *Cluster) Status() *Status { return c.status.Load() }
+// ReportSpare states the free slots of this VM's targets by service, which the
+// other zones hear of.
+func (c *Cluster) ReportSpare(spare map[fleet.ServiceID]int) { c.spare.Store(&spare) }
 
 // View returns the view in force, or nil before the first one.
 func (c *Cluster) View() *fleet.View { return c.current.Load() }
-
-func (c *Cluster) setStatus(now time.Time) {
-	s := &Status{
-		State: c.members.State(), Epoch: c.leases.View().Epoch, Sealed: c.leases.Sealed(),
-		Voting: c.leases.Voting(), Proposer: c.leases.Proposer(), Revision: c.store.Revision(),
-		Members: c.members.Members(now), Zones: c.last.zones,
-		Membership: c.members.Stats(), Lease: c.leases.Stats(), Spread: c.spread.Stats(),
-	}
-	if z := c.store.Config().Zone(c.Zone); z != nil {
-		s.Council = z.Council
-	}
-	c.status.Store(s)
-}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -391,7 +391,7 @@
 }
 
 // ready reports whether all VMs have a sealed view of all VMs and targets of
-// their zone and see the other zones.
+// their zone and see the other zones with their free slots.
 func (d *Demo) ready() bool {
 	for _, v := range d.vms {
 		view := v.cluster.View()
@@ -399,7 +399,8 @@
 			return false
 		}
 		for i := range view.Zones {
-			if !view.Zones[i].Reachable || len(view.Zones[i].Members) != vmsPerZone {
+			z := &view.Zones[i]
+			if !z.Reachable || len(z.Members) != vmsPerZone || z.ID != v.zone && len(z.Spare) == 0 {
 				return false
 			}
 		}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -267,6 +267,7 @@
 			now := time.Now()
 			d.expire(now)
 			d.probeTargets(ctx, now)
+			d.reportSpare()
 			if d.judgeTargets(now) {
 				d.report(d.registry)
 			}
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -29,6 +29,12 @@
 		OnReport(receive func(from fleet.VMID, body []byte))
 	}
 
+	// SpareReporter is a Membership that tells other zones the free slots of
+	// this VM's targets.
+	SpareReporter interface {
+		ReportSpare(spare map[fleet.ServiceID]int)
+	}
+
 	// received is a report of another VM.
 	received struct {
 		from   fleet.VMID
@@ -128,6 +134,23 @@
 	}
 }
 
+// reportSpare tells the zone the free slots of this VM's targets.
+func (d *Daemon) reportSpare() {
+	reporter, ok := d.Membership.(SpareReporter)
+	if !ok {
+		return
+	}
+	sum := make(map[fleet.ServiceID]int)
+	for _, s := range d.shards {
+		if spare := s.spare.Load(); spare != nil {
+			for id, n := range *spare {
+				sum[id] += n
+			}
+		}
+	}
+	reporter.ReportSpare(sum)
+}
+
 // judgeTargets puts the verdicts on the own targets into the registry and
 // reports whether one changed.
 func (d *Daemon) judgeTargets(now time.Time) bool {
--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -37,6 +37,7 @@
 		Remaining(flow fleet.FlowKey, now time.Time) time.Duration
 		ReportLoad(key fleet.TargetKey, inFlight int, now time.Time)
 		SetLease(until time.Time)
+		Spare() map[fleet.ServiceID]int
 		Stats() balancer.Stats
 	}
 
@@ -65,6 +66,7 @@
 		contacts contacts
 		view     *fleet.View
 		silent   atomic.Pointer[map[fleet.TargetKey]bool]
+		spare    atomic.Pointer[map[fleet.ServiceID]int]
 		stats    atomic.Pointer[balancer.Stats]
 		alive    atomic.Int64 // Unix nanoseconds of the last tick
 	}
@@ -181,6 +183,8 @@
 		s.lastStat = now
 		stats := s.core.Stats()
 		s.stats.Store(&stats)
+		spare := s.core.Spare()
+		s.spare.Store(&spare)
 		silent := s.contacts.silent(now)
 		s.silent.Store(&silent)
 	}
--- a/pkg/balancer/core_test.go
+++ b/pkg/balancer/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -48,13 +49,31 @@
 // next returns the view of a later epoch with the same targets and listeners.
 func next(t testing.TB, v *fleet.View, epochs fleet.Epoch, ids ...fleet.VMID) *fleet.View {
 	t.Helper()
-	out := &fleet.View{Zone: v.Zone, Epoch: v.Epoch + epochs, Sealed: true, Members: members(ids), Listeners: v.Listeners, Targets: v.Targets}
+	out := &fleet.View{Zone: v.Zone, Epoch: v.Epoch + epochs, Sealed: true, Members: members(ids), Listeners: v.Listeners, Targets: slices.Clone(v.Targets)}
 	if err := out.Freeze(); err != nil {
 		t.Fatal(err)
 	}
 	return out
 }
 
+// Guards against a zone that offers slots which are taken, or those of targets
+// that drain.
+func TestSpare(t *testing.T) {
+	b, v, now := lone(t, Config{}, 3)
+	only(t, b.Handle(Packet{Flow: testFlow(&orders, 1), Source: FromFabric, Start: true, Instance: 1}, now, nil), Forward)
+	if got, want := b.Spare()["Lutto/Counter"], 3*3-1; got != want {
+		t.Errorf("free slots: got %d, want %d", got, want)
+	}
+	draining := next(t, v, 1, "vm")
+	for i := range draining.Targets {
+		draining.Targets[i].State = fleet.TargetDraining
+	}
+	b.SetView(draining, now)
+	if got := b.Spare()["Lutto/Counter"]; got != 0 {
+		t.Errorf("free slots of draining targets: got %d, want 0", got)
+	}
+}
+
 // Guards against a VM that drops orders after each change of view, because it
 // waits for its lease in the new epoch, and against one that trusts its
 // memory after it missed epochs without a lease.
--- a/pkg/balancer/place.go
+++ b/pkg/balancer/place.go
@@ -355,6 +355,20 @@
 	return pl.limiter.InFlight() < allowed
 }
 
+// Spare returns the free slots of the targets that this VM owns and that take
+// new flows, by service.
+func (b *Balancer) Spare() map[fleet.ServiceID]int {
+	out := make(map[fleet.ServiceID]int)
+	for _, at := range b.places.owned {
+		pl := &b.places.all[at]
+		if pl.target == nil || pl.limiter == nil || !pl.target.TakesNewFlows() {
+			continue
+		}
+		out[pl.id.Service] += max(0, pl.target.Slots-pl.limiter.InFlight())
+	}
+	return out
+}
+
 // ReportLoad takes a target's own count of requests in flight.
 func (b *Balancer) ReportLoad(key fleet.TargetKey, inFlight int, now time.Time) {
 	if at, ok := b.places.at[key]; ok && b.places.all[at].owned && b.places.all[at].limiter != nil {
