Bound and count connections that bring no pull

Cause: the TCP side of the control port decoded whatever a connection sent, up to the gigabyte that gob takes, and counted nothing.

Change: a connection may send 64 KiB, and one without a valid pull costs a counter, which is exported. TestMetrics expects one sample more for it.

Conclusion: two connections with garbage cost a counter each, and the next pull is served.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -75,6 +75,7 @@
 		Recorder timeline.Recorder
 		Log      *zap.Logger
 
+		server   peer.Server
 		onReport func(from fleet.VMID, body []byte)
 
 		members *membership.Machine
@@ -159,8 +160,8 @@
 	c.connected = time.Now()
 	c.build(c.connected)
 	group, ctx := errgroup.WithContext(ctx)
-	server := &peer.Server{Self: c.Self.ID, Listener: c.Pulls, Answer: c.answer}
-	group.Go(func() error { return server.Run(ctx) })
+	c.server.Self, c.server.Listener, c.server.Answer = c.Self.ID, c.Pulls, c.answer
+	group.Go(func() error { return c.server.Run(ctx) })
 	group.Go(func() error { return c.Socket.Receive(ctx, func(r peer.Received) { c.receive(ctx, r) }) })
 	group.Go(func() error { return c.run(ctx) })
 	return group.Wait()
--- a/internal/cluster/metrics.go
+++ b/internal/cluster/metrics.go
@@ -22,6 +22,8 @@
 		"Control datagrams, by channel and direction.", "channel", "direction")
 	controlDiscardedDesc = newDesc("control_discarded_datagrams_total",
 		"Control datagrams that were not received or sent, by reason.", "reason")
+	pullsRejectedDesc = newDesc("pull_connections_rejected_total",
+		"Connections to the control port that brought no valid pull of settings.")
 	leaseEventsDesc      = newDesc("lease_events_total", "Events of views and leases.", "event")
 	membershipEventsDesc = newDesc("membership_events_total", "Events of the failure detection.", "event")
 	spreadEventsDesc     = newDesc("spread_events_total", "Events of the settings distribution.", "event")
@@ -48,7 +50,7 @@
 // Descriptions returns the descriptions of the metrics of a Cluster.
 func Descriptions() []*prometheus.Desc {
 	return []*prometheus.Desc{
-		controlBytesDesc, controlFramesDesc, controlDiscardedDesc, leaseEventsDesc, membershipEventsDesc,
+		controlBytesDesc, controlFramesDesc, controlDiscardedDesc, pullsRejectedDesc, leaseEventsDesc, membershipEventsDesc,
 		spreadEventsDesc, liveDesc, connectedDesc, votingDesc, proposerDesc,
 	}
 }
@@ -92,6 +94,7 @@
 	count(controlDiscardedDesc, invalid, "invalid")
 	count(controlDiscardedDesc, failed, "failed")
 	count(controlDiscardedDesc, tooLarge, "too_large")
+	count(pullsRejectedDesc, c.server.Rejected())
 }
 
 // read asks the goroutine that owns the state machines.
--- a/internal/cluster/metrics_test.go
+++ b/internal/cluster/metrics_test.go
@@ -19,7 +19,7 @@
 func TestMetrics(t *testing.T) {
 	n := zoneOf(t, 1)[0]
 	socketOnly := testutil.CollectAndCount(n.Cluster)
-	if want := 4*len(peer.Channels()) + 3; socketOnly != want {
+	if want := 4*len(peer.Channels()) + 4; socketOnly != want {
 		t.Errorf("before the start: got %d samples, want %d", socketOnly, want)
 	}
 	n.start(t)
@@ -30,6 +30,7 @@
 		{"bamboowalk_control_bytes_total", 2 * len(peer.Channels())},
 		{"bamboowalk_control_datagrams_total", 2 * len(peer.Channels())},
 		{"bamboowalk_control_discarded_datagrams_total", 3},
+		{"bamboowalk_pull_connections_rejected_total", 1},
 		{"bamboowalk_lease_events_total", 13},
 		{"bamboowalk_membership_events_total", 11},
 		{"bamboowalk_spread_events_total", 7},
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,7 +60,8 @@
 	}
 }
 
-// Guards against pulls that lose a delta, hang, or leave goroutines behind.
+// Guards against pulls that lose a delta, hang, or leave goroutines behind, and
+// against garbage that costs more than a counter.
 func TestPull(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -85,10 +88,29 @@
 	if _, _, err := Pull(ctx, "c", address, message); !errors.As(err, &pe) {
 		t.Errorf("refused pull: got %v, want PullError", err)
 	}
+	for _, garbage := range []string{"garbage\n", strings.Repeat("\xfc\x7f\xff\xff\xff", maxRequest)} {
+		conn, err := net.Dial("tcp", address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The server may close the connection before all is written.
+		_, _ = conn.Write([]byte(garbage))
+		if err := conn.(*net.TCPConn).CloseWrite(); err == nil {
+			_, _ = io.ReadAll(conn)
+		}
+		conn.Close()
+	}
+	if from, _, err := Pull(ctx, "b", address, message); err != nil || from != "a" {
+		t.Errorf("pull after garbage: got %v, %v, want a delta from a", from, err)
+	}
 	cancel()
 	if err := <-done; err != nil {
 		t.Errorf("Run: got %v, want no error", err)
 	}
+	// One refused pull and two connections with garbage.
+	if got, want := server.Rejected(), uint64(3); got != want {
+		t.Errorf("rejected connections: got %d, want %d", got, want)
+	}
 	if _, _, err := Pull(context.Background(), "b", address, message); !errors.As(err, &pe) {
 		t.Errorf("pull from a stopped server: got %v, want PullError", err)
 	}
--- a/internal/peer/pull.go
+++ b/internal/peer/pull.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bamboowalk.org/bamboowalk/pkg/fleet"
@@ -23,6 +25,9 @@
 	idleTimeout = 10 * time.Second
 	// maxPullConns bounds the pulls that one process serves at once.
 	maxPullConns = 128
+	// maxRequest bounds what one connection may send; a pull has some hundred
+	// bytes, and gob would read up to a gigabyte.
+	maxRequest = 64 << 10
 )
 
 type (
@@ -54,13 +59,28 @@
 	Self     fleet.VMID
 	Listener net.Listener
 	Answer   Answer
+
+	rejected atomic.Uint64
 }
 
-// handler is the receiver of the calls.
+// handler is the receiver of the calls of one connection.
 type handler struct {
 	server *Server
+	served bool
+}
+
+// limitedConn ends after maxRequest bytes.
+type limitedConn struct {
+	net.Conn
+	limited io.Reader
 }
 
+// Read returns io.EOF after maxRequest bytes.
+func (c *limitedConn) Read(p []byte) (int, error) { return c.limited.Read(p) }
+
+// Rejected returns the connections that brought no valid pull.
+func (s *Server) Rejected() uint64 { return s.rejected.Load() }
+
 // Pull decodes the message, and encodes its answer.
 func (h *handler) Pull(arg *Exchange, reply *Exchange) error {
 	m, err := spread.Decode(arg.Message)
@@ -71,6 +91,7 @@
 	if err != nil {
 		return err
 	}
+	h.served = true
 	reply.From = h.server.Self
 	reply.Message, err = answer.Encode()
 	return err
@@ -78,10 +99,6 @@
 
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	server := rpc.NewServer()
-	if err := server.RegisterName(pullService, &handler{server: s}); err != nil {
-		return &SocketError{Op: "register the pull service", Err: err}
-	}
 	stop := context.AfterFunc(ctx, func() { s.Listener.Close() })
 	defer stop()
 	slots := make(chan struct{}, maxPullConns)
@@ -98,23 +115,32 @@
 		select {
 		case slots <- struct{}{}:
 		default:
+			s.rejected.Add(1)
 			conn.Close()
 			continue
 		}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			serveOne(ctx, server, conn)
+			s.serveOne(ctx, conn)
 		})
 	}
 }
 
-func serveOne(ctx context.Context, server *rpc.Server, conn net.Conn) {
+func (s *Server) serveOne(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
+	h := &handler{server: s}
+	server := rpc.NewServer()
+	if server.RegisterName(pullService, h) != nil {
+		return
+	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	// A connection that can't be given a deadline is already closed.
 	_ = conn.SetDeadline(time.Now().Add(idleTimeout))
-	server.ServeConn(conn)
+	server.ServeConn(&limitedConn{Conn: conn, limited: io.LimitReader(conn, maxRequest)})
+	if !h.served {
+		s.rejected.Add(1)
+	}
 }
 
 // Pull sends a message to the pull server at an address and returns its
