Show how far the newest settings have spread

Cause: status showed each VM's revision but not the time that a change took.

Change: a VM says when it put its revision in force; status prints at how many VMs the newest is, and the time from the first to the last, by their clocks.

Conclusion: TestStatusCommand checks the line.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -60,6 +60,9 @@
 		leaving  atomic.Bool
 		// leaseUntil is the end of the lease in Unix nanoseconds.
 		leaseUntil atomic.Int64
+		// revisionAt is when the settings in force came into force, in Unix
+		// nanoseconds.
+		revisionAt atomic.Int64
 		client     *http.Client
 		checks     targetHealth
 		// owners is the placement of the latest view, for the control goroutine.
@@ -286,6 +289,9 @@
 	if u.View != nil {
 		d.adapter.SetView(u.View, now)
 		dropped := d.registry.SetView(u.View, now)
+		if old := d.view.Load(); old == nil || old.Revision != u.View.Revision {
+			d.revisionAt.Store(now.UnixNano())
+		}
 		d.view.Store(u.View)
 		if dropped {
 			d.report(d.registry)
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -26,8 +26,10 @@
 		// for it before the next one.
 		Voting   bool           `json:"Voting"`
 		Revision fleet.Revision `json:"Revision"`
-		Members  []fleet.VMID   `json:"Members"`
-		Zones    []ZoneStatus   `json:"Zones"`
+		// RevisionAt is when this VM put the revision in force, by its clock.
+		RevisionAt time.Time    `json:"RevisionAt"`
+		Members    []fleet.VMID `json:"Members"`
+		Zones      []ZoneStatus `json:"Zones"`
 		// KnownTargets is the number of targets in the view.
 		KnownTargets int `json:"KnownTargets"`
 		// Targets are those that this VM owns; all targets of a zone at each of
@@ -84,6 +86,7 @@
 		return s
 	}
 	s.Epoch, s.Sealed, s.Revision = v.Epoch, v.Sealed, v.Revision
+	s.RevisionAt = time.Unix(0, d.revisionAt.Load())
 	s.HasLease = now.UnixNano() < d.leaseUntil.Load()
 	for i := range v.Members {
 		s.Members = append(s.Members, v.Members[i].ID)
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -133,10 +133,36 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%v\t%v\t%v\t%d\t%d\t%d\t%d\t%d\t%s\n", v.ID, v.Zone, v.Health, v.Epoch, v.Sealed, v.HasLease, v.Voting,
 			v.Revision, len(v.Members), v.Flows, v.Refused, v.Dropped, strings.Join(v.CutZones(), " "))
 	}
+	s.printRevision(w)
 	s.printServices(w)
 	return w.Flush()
 }
 
+// printRevision prints at how many VMs the newest revision is in force, and the
+// time from the first to the last of them by their clocks.
+func (s *FleetStatus) printRevision(w *tabwriter.Writer) {
+	newest := fleet.Revision(0)
+	for i := range s.Entry {
+		newest = max(newest, s.Entry[i].Revision)
+	}
+	count := 0
+	var first, last time.Time
+	for i := range s.Entry {
+		v := &s.Entry[i]
+		if v.Revision != newest {
+			continue
+		}
+		if count == 0 || v.RevisionAt.Before(first) {
+			first = v.RevisionAt
+		}
+		if count == 0 || v.RevisionAt.After(last) {
+			last = v.RevisionAt
+		}
+		count++
+	}
+	fmt.Fprintf(w, "REVISION\t%d\tin force at %d of %d entry VMs\twithin %v\n", newest, count, len(s.Entry), last.Sub(first).Round(time.Millisecond))
+}
+
 // printServices prints the targets with their zones, states and owners. Where
 // VMs with different views both own a target, the higher epoch counts.
 func (s *FleetStatus) printServices(w *tabwriter.Writer) {
--- a/internal/operator/status_test.go
+++ b/internal/operator/status_test.go
@@ -31,8 +31,9 @@
 	target := func(state fleet.TargetState) []entry.TargetStatus {
 		return []entry.TargetStatus{{ID: fleet.TargetID{Service: "Lutto/Counter"}, State: state, Owner: "monza-1"}}
 	}
-	newer := entry.Status{ID: "monza-1", Zone: "Monza", Epoch: 8, Targets: target(fleet.TargetDraining), Zones: []entry.ZoneStatus{{ID: "Lecco"}}}
-	older := entry.Status{ID: "monza-2", Zone: "Monza", Epoch: 7, Targets: target(fleet.TargetReady)}
+	at := time.Unix(1000, 0)
+	newer := entry.Status{ID: "monza-1", Zone: "Monza", Epoch: 8, Revision: 4, RevisionAt: at.Add(30 * time.Millisecond), Targets: target(fleet.TargetDraining), Zones: []entry.ZoneStatus{{ID: "Lecco"}}}
+	older := entry.Status{ID: "monza-2", Zone: "Monza", Epoch: 7, Revision: 4, RevisionAt: at, Targets: target(fleet.TargetReady)}
 	gone := httptest.NewServer(http.NotFoundHandler())
 	gone.Close()
 	var out strings.Builder
@@ -45,7 +46,7 @@
 	if err := c.Run(context.Background()); !errors.As(err, &ue) || ue.Count != 1 {
 		t.Errorf("got %v, want an UnreachableError for one VM", err)
 	}
-	for _, want := range []string{"UNREACHABLE", gone.URL, "control-1", "Leader", "monza-1", "Draining", "Lecco"} {
+	for _, want := range []string{"UNREACHABLE", gone.URL, "control-1", "Leader", "monza-1", "Draining", "Lecco", "in force at 2 of 2 entry VMs", "30ms"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("got %q, want it to contain %q", out.String(), want)
 		}
