Apply a view before it is acknowledged

Cause: the lease protocol acknowledged an adopted view with the next message, up to 20 ms and a queue before the packet shards had it. In that time a former owner could still decide in the earlier epoch while the new one was sealed.

Change: an adopted view is published, and taken by all shards, before any message of the lease protocol is sent.

Figures: TestViewIsAppliedBeforeItIsAcknowledged fails before (the epoch is sealed while a VM's traffic side still has the earlier view), and passes after.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -310,7 +310,14 @@
 	}
 }
 
+// sendLease sends messages of the lease protocol. They acknowledge the view that
+// was adopted, after which its owners may decide, so the traffic side must have
+// the view first.
 func (c *Cluster) sendLease(out []lease.Envelope, now time.Time) {
+	if c.leases.View().Epoch != c.last.epoch {
+		c.survey(now)
+		c.publish(now)
+	}
 	for _, e := range out {
 		if body, err := e.Message.Encode(); err == nil {
 			c.send(e.To, peer.Lease, body, now)
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,12 +31,18 @@
 	*Cluster
 	stop func()
 
+	// hold keeps the traffic side from taking a view until it is closed.
+	hold atomic.Pointer[chan struct{}]
+
 	mu   sync.Mutex
 	last entry.Update
 	view *fleet.View
 }
 
 func (n *node) apply(u entry.Update) {
+	if hold := n.hold.Load(); hold != nil && u.View != nil {
+		<-*hold
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.last = u
@@ -179,6 +186,41 @@
 	}
 }
 
+// Guards against an epoch that is sealed, so that new owners decide, while the
+// traffic side of a VM with a valid lease still decides in an earlier one.
+func TestViewIsAppliedBeforeItIsAcknowledged(t *testing.T) {
+	const observed = 400 * time.Millisecond // well within a lease
+	nodes := zoneOf(t, 3)
+	settle(t, nodes)
+	for _, n := range nodes {
+		n.start(t)
+	}
+	for _, n := range nodes {
+		n.await(t, "monza-0 monza-1 monza-2", 0)
+	}
+	hold := make(chan struct{})
+	release := sync.OnceFunc(func() { close(hold) })
+	t.Cleanup(release)
+	nodes[2].hold.Store(&hold)
+	nodes[0].Report([]fleet.Target{{
+		ID:   fleet.TargetID{Service: "Lutto/Counter", Address: netip.MustParseAddrPort("127.0.0.1:10"), Incarnation: 1},
+		Zone: "Monza", Slots: 3, ConnectionLimit: 4500, State: fleet.TargetReady,
+	}})
+	for begin := time.Now(); ; time.Sleep(time.Millisecond) {
+		_, sealed, _, targets := nodes[0].state()
+		if time.Since(begin) > observed {
+			break
+		}
+		if targets == 1 && sealed {
+			t.Fatal("the epoch is sealed while a VM has not applied its view")
+		}
+	}
+	release()
+	for _, n := range nodes {
+		n.await(t, "monza-0 monza-1 monza-2", 1)
+	}
+}
+
 // Guards against two processes that run as one VM: the earlier one must stop
 // once it hears of the later one.
 func TestSupersededProcessStops(t *testing.T) {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -225,11 +225,21 @@
 	return int(uint64(r.Packet.Flow.Hash()) % uint64(len(d.shards)))
 }
 
-// apply gives an update to the control goroutine.
+// apply gives an update to the control goroutine and waits until all shards
+// have it.
 func (d *Daemon) apply(u Update) {
+	u.applied = make(chan struct{}, len(d.shards))
 	select {
 	case d.updates <- u:
 	case <-d.stopped:
+		return
+	}
+	for range d.shards {
+		select {
+		case <-u.applied:
+		case <-d.stopped:
+			return
+		}
 	}
 }
 
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -31,11 +31,16 @@
 		// Probes says how targets are probed, or is nil where that did not
 		// change.
 		Probes map[fleet.ServiceID]probe.Endpoint
+
+		// applied gets a value from each shard that has the update.
+		applied chan struct{}
 	}
 
 	// Membership agrees with the other VMs of the zone on views and leases.
 	Membership interface {
-		// Run passes each change to apply until ctx ends.
+		// Run passes each change to apply until ctx ends. Once apply returns, no
+		// decision is made in an earlier view any more, so that the view may be
+		// acknowledged.
 		Run(ctx context.Context, apply func(Update)) error
 		// Report tells the zone the targets whose leases this VM keeps.
 		Report(targets []fleet.Target)
--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -123,6 +123,8 @@
 		s.view = u.View
 		s.core.SetView(u.View, now)
 	}
+	// The channel has room for all shards.
+	u.applied <- struct{}{}
 }
 
 // burst handles the packet and those that wait behind it.
