Drop parameters that repeat the cluster's fields

Cause: four functions of the cluster passed on what its fields hold, and one field was written and never read.

Change: they read the fields; the field is gone.

Conclusion: behaviour is as before; the cluster tests pass with the race detector.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -121,7 +121,6 @@
 		sealed     bool
 		revision   fleet.Revision
 		generation uint64
-		zones      []fleet.Zone
 		zonesSeen  uint64
 		members    []fleet.VM // of an isolated VM, else nil
 		view       *fleet.View
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -23,10 +23,9 @@
 	config := c.store.Config()
 	c.setCouncil(config, now)
 	v := c.leases.View()
-	members, zones := c.isolated, c.zones
 	u := entry.Update{LeaseUntil: c.leases.LeaseUntil(now)}
-	if v.Epoch != 0 && c.changed(v, config, members) {
-		u.View = c.buildView(zones, members, config, now)
+	if v.Epoch != 0 && c.changed(v, config) {
+		u.View = c.buildView(config, now)
 	}
 	if u.View != nil && config.Revision != c.last.revision {
 		u.Services = credentials(config)
@@ -37,7 +36,7 @@
 		return
 	}
 	if u.View != nil {
-		c.remember(u.View, v, config, zones, members)
+		c.remember(u.View, config)
 	}
 	c.last.until = u.LeaseUntil
 	c.apply(u)
@@ -64,8 +63,8 @@
 	return sortedVMs(vms)
 }
 
-func (c *Cluster) changed(v *lease.View, config *settings.Config, members []fleet.VM) bool {
-	return !slices.Equal(members, c.last.members) || v.Epoch != c.last.epoch || c.leases.Sealed() != c.last.sealed ||
+func (c *Cluster) changed(v *lease.View, config *settings.Config) bool {
+	return !slices.Equal(c.isolated, c.last.members) || v.Epoch != c.last.epoch || c.leases.Sealed() != c.last.sealed ||
 		config.Revision != c.last.revision || c.zonesSeen != c.last.zonesSeen
 }
 
@@ -76,10 +75,10 @@
 	return until.Sub(c.last.until) >= leaseStep
 }
 
-func (c *Cluster) remember(built *fleet.View, v *lease.View, config *settings.Config, zones []fleet.Zone, members []fleet.VM) {
-	c.last.members, c.last.zonesSeen = members, c.zonesSeen
-	c.last.epoch, c.last.sealed = v.Epoch, c.leases.Sealed()
-	c.last.revision, c.last.zones, c.last.view = config.Revision, zones, built
+func (c *Cluster) remember(built *fleet.View, config *settings.Config) {
+	c.last.members, c.last.zonesSeen = c.isolated, c.zonesSeen
+	c.last.epoch, c.last.sealed = built.Epoch, c.leases.Sealed()
+	c.last.revision, c.last.view = config.Revision, built
 	c.current.Store(built)
 	c.forgetTargets()
 }
@@ -95,11 +94,11 @@
 	}
 }
 
-func (c *Cluster) buildView(zones []fleet.Zone, members []fleet.VM, config *settings.Config, now time.Time) *fleet.View {
-	built, err := c.leases.BuildView(zones, config.Listeners, config.Revision)
+func (c *Cluster) buildView(config *settings.Config, now time.Time) *fleet.View {
+	built, err := c.leases.BuildView(c.zones, config.Listeners, config.Revision)
 	if err == nil {
-		if members != nil {
-			built.Members, built.Sealed = members, false
+		if c.isolated != nil {
+			built.Members, built.Sealed = c.isolated, false
 		}
 		built.Members = withHTTP(built.Members, config.Zone(c.Zone))
 		err = built.Freeze()
