Decode probe reports in one checked place, with a fuzz target

Cause: the entry daemon decoded reports by hand, the only decoder of network input without a fuzz target.

Change: probe.DecodeReport with a typed error and FuzzDecodeReport.

--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"bamboowalk.org/bamboowalk/internal/announce"
@@ -94,7 +93,7 @@
 	if !ok {
 		return
 	}
-	body, err := cbor.Marshal(report)
+	body, err := report.Encode()
 	if err != nil {
 		d.Log.Error("probe report can't be encoded", zap.Error(err))
 		return
@@ -105,12 +104,12 @@
 // receiveReport takes the report of another prober; one that does not decode
 // is dropped.
 func (d *Daemon) receiveReport(from fleet.VMID, body []byte) {
-	r := received{from: from}
-	if cbor.Unmarshal(body, &r.report) != nil || r.report.Validate() != nil {
+	report, err := probe.DecodeReport(body)
+	if err != nil {
 		return
 	}
 	select {
-	case d.checks.received <- r:
+	case d.checks.received <- received{from: from, report: report}:
 	default:
 		// The caller reads the control socket and must not wait; the next
 		// interval brings another report.
--- a/internal/probe/judge.go
+++ b/internal/probe/judge.go
@@ -1,8 +1,11 @@
 package probe
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
@@ -30,6 +33,9 @@
 		HasLoad  bool   `cbor:"6,keyasint"`
 	}
 
+	// ReportError reports bytes that are no valid report.
+	ReportError struct{ Err error }
+
 	// Judge decides which of a VM's own targets take new flows. It is used by
 	// one goroutine.
 	Judge struct {
@@ -58,6 +64,33 @@
 	}
 )
 
+// Encode returns the bytes of the report; it returns a ReportError.
+func (r *Report) Encode() ([]byte, error) {
+	b, err := cbor.Marshal(r)
+	if err != nil {
+		return nil, &ReportError{Err: err}
+	}
+	return b, nil
+}
+
+// DecodeReport decodes and checks a report; it returns a ReportError.
+func DecodeReport(b []byte) (Report, error) {
+	var r Report
+	if err := cbor.Unmarshal(b, &r); err != nil {
+		return Report{}, &ReportError{Err: err}
+	}
+	if err := r.Validate(); err != nil {
+		return Report{}, &ReportError{Err: err}
+	}
+	return r, nil
+}
+
+// Error names the cause.
+func (e *ReportError) Error() string { return fmt.Sprintf("probe report: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *ReportError) Unwrap() error { return e.Err }
+
 // Validate returns a FieldError for counts that contradict each other.
 func (r *Report) Validate() error {
 	if r.Failing > r.Probed {
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -10,8 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
@@ -150,9 +148,24 @@
 			b.Fatalf("got %+v, want a healthy target with its load", r)
 		}
 	}
-	body, err := cbor.Marshal(Report{Target: key, Healthy: true, HasLoad: true, InFlight: 2, Probed: 24})
+	body, err := (&Report{Target: key, Healthy: true, HasLoad: true, InFlight: 2, Probed: 24}).Encode()
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.ReportMetric(float64(len(body)), "report-bytes")
 }
+
+// Guards against a panic on garbage from the network, and against reports whose
+// counts contradict each other.
+func FuzzDecodeReport(f *testing.F) {
+	b, err := (&Report{Target: key, Probed: 8, Failing: 1}).Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if r, err := DecodeReport(b); err == nil && r.Validate() != nil {
+			t.Errorf("got report %+v, want a valid one", r)
+		}
+	})
+}
