Move the replica's goroutine and transport into a package of their own

Cause: the control daemon for the users' platform needs the same goroutine, net/rpc transport and keys as internal/control, over another state machine. Change: internal/replication holds them; internal/control keeps what concerns the settings tree. Tests: internal/control and internal/replication pass.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"bamboowalk.org/bamboowalk/internal/peer"
+	"bamboowalk.org/bamboowalk/internal/replication"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/replica"
 	"bamboowalk.org/bamboowalk/pkg/settings"
@@ -94,7 +95,7 @@
 	d.loop.hint = func(e spread.Envelope, now time.Time) { d.hint(socket, e, now) }
 	pulls := &peer.Server{Self: d.Settings.ID, Listener: d.Sockets.Pulls, Answer: d.loop.answer}
 	group.Go(func() error { return transport.Run(ctx) })
-	group.Go(func() error { return d.loop.run(ctx) })
+	group.Go(func() error { return d.loop.Run(ctx) })
 	group.Go(func() error { return pulls.Run(ctx) })
 	group.Go(func() error { return socket.Receive(ctx, func(r peer.Received) { d.receive(ctx, r) }) })
 	group.Go(func() error { return d.serve(ctx) })
@@ -143,30 +144,29 @@
 }
 
 // build opens the replica and connects its parts.
-func (d *Daemon) build(now time.Time) (*Transport, error) {
+func (d *Daemon) build(now time.Time) (*replication.Transport, error) {
 	m := settings.NewMachine()
 	r, err := d.openReplica(m, now)
 	if err != nil {
 		return nil, err
 	}
-	transport := &Transport{
+	transport := &replication.Transport{
 		Self:     d.Settings.ID,
 		Listener: d.Sockets.Replication,
 		Address:  d.replicationAddress,
 	}
 	if d.Settings.Keys != nil {
-		if transport.Keys, err = LoadKeys(*d.Settings.Keys); err != nil {
+		if transport.Keys, err = replication.LoadKeys(*d.Settings.Keys); err != nil {
 			return nil, err
 		}
 	}
 	d.peers = &subscribers{addresses: make(map[fleet.VMID]netip.AddrPort)}
 	d.loop = &loop{
+		Loop:     replication.Loop{Replica: r, Send: transport.Send},
 		self:     d.Settings.ID,
-		replica:  r,
 		machine:  m,
 		source:   &spread.Node{Self: d.Settings.ID, Copy: documents{m}, Source: true},
 		recorder: d.ring,
-		send:     transport.Send,
 		url:      d.url,
 	}
 	d.loop.init()
@@ -222,7 +222,7 @@
 	if err != nil || m.Hint == nil {
 		return
 	}
-	_ = d.loop.call(ctx, func(now time.Time) {
+	_ = d.loop.Call(ctx, func(now time.Time) {
 		d.peers.set(r.From, r.Address)
 		for _, e := range d.loop.source.Handle(r.From, m, now) {
 			d.loop.hint(e, now)
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -49,42 +49,31 @@
 
 // Collect sends the present values; it sends none once the daemon has stopped.
 func (c *collector) Collect(ch chan<- prometheus.Metric) {
-	type reading struct {
-		replica  replica.Stats
-		spread   spread.Stats
-		revision float64
-	}
-	readings := make(chan reading, 1)
-	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
-	defer cancel()
-	err := c.loop.call(ctx, func(time.Time) {
-		readings <- reading{c.loop.replica.Stats(), c.loop.source.Stats(), float64(c.loop.machine.Revision())}
+	var stats replica.Stats
+	var source spread.Stats
+	var revision float64
+	err := c.loop.Ask(context.Background(), func(time.Time) {
+		stats, source, revision = c.loop.Replica.Stats(), c.loop.source.Stats(), float64(c.loop.machine.Revision())
 	})
 	if err != nil {
 		return
 	}
-	var r reading
-	select {
-	case r = <-readings:
-	case <-ctx.Done():
-		return
-	}
 	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
 		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
 	}
 	counter := func(d *prometheus.Desc, v uint64) {
 		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v))
 	}
-	gauge(roleDesc, 1, r.replica.Role)
-	gauge(termDesc, float64(r.replica.Term))
-	gauge(commitDesc, float64(r.replica.Commit))
-	gauge(appliedDesc, float64(r.replica.Applied))
-	gauge(revisionDesc, r.revision)
-	gauge(walDesc, float64(r.replica.SegmentBytes))
-	counter(electionsDesc, r.replica.Elections)
-	counter(syncsDesc, r.replica.Syncs)
-	counter(proposalsDesc, r.replica.Proposals)
-	counter(snapshotsDesc, r.replica.Snapshots)
-	counter(pushesDesc, r.spread.Pushes)
-	counter(hintsDesc, r.spread.Hints)
+	gauge(roleDesc, 1, stats.Role)
+	gauge(termDesc, float64(stats.Term))
+	gauge(commitDesc, float64(stats.Commit))
+	gauge(appliedDesc, float64(stats.Applied))
+	gauge(revisionDesc, revision)
+	gauge(walDesc, float64(stats.SegmentBytes))
+	counter(electionsDesc, stats.Elections)
+	counter(syncsDesc, stats.Syncs)
+	counter(proposalsDesc, stats.Proposals)
+	counter(snapshotsDesc, stats.Snapshots)
+	counter(pushesDesc, source.Pushes)
+	counter(hintsDesc, source.Hints)
 }
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 
+	"bamboowalk.org/bamboowalk/internal/replication"
 	"bamboowalk.org/bamboowalk/internal/settingsfile"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/settings"
@@ -25,7 +26,7 @@
 		Replicas    []ReplicaAddress
 		RootKeyHash string
 		// Keys is nil for connections between replicas without TLS.
-		Keys *KeyFiles
+		Keys *replication.KeyFiles
 		Log  settingsfile.Log
 	}
 
@@ -37,15 +38,15 @@
 	}
 
 	settingsForm struct {
-		ID          string        `toml:"ID"`
-		Data        string        `toml:"Data"`
-		HTTP        string        `toml:"HTTP"`
-		Control     string        `toml:"Control"`
-		RootKeyFile string        `toml:"RootKeyFile"`
-		LogFormat   string        `toml:"LogFormat"`
-		LogLevel    string        `toml:"LogLevel"`
-		Keys        *KeyFiles     `toml:"Keys"`
-		Replicas    []replicaForm `toml:"Replicas"`
+		ID          string                `toml:"ID"`
+		Data        string                `toml:"Data"`
+		HTTP        string                `toml:"HTTP"`
+		Control     string                `toml:"Control"`
+		RootKeyFile string                `toml:"RootKeyFile"`
+		LogFormat   string                `toml:"LogFormat"`
+		LogLevel    string                `toml:"LogLevel"`
+		Keys        *replication.KeyFiles `toml:"Keys"`
+		Replicas    []replicaForm         `toml:"Replicas"`
 	}
 
 	replicaForm struct {
--- a/internal/control/rpc_test.go
+++ b/internal/replication/transport_test.go
@@ -1,4 +1,4 @@
-package control
+package replication
 
 import (
 	"context"
