--- /dev/null
+++ b/internal/feed/board.go
@@ -0,0 +1,251 @@
+package feed
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"bamboowalk.org/bamboowalk/pkg/catalog"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/registry"
+)
+
+// Board holds what a control VM publishes. It is safe for concurrent use.
+type Board struct {
+	mu       sync.Mutex
+	targets  *registry.Registry
+	catalog  *catalog.Catalog
+	current  bool
+	complete bool
+	controls []fleet.VMID
+	// completeAt is the time from which every live target has had the chance
+	// to announce itself.
+	completeAt time.Time
+	// changed is closed and replaced at each change that matters for
+	// forwarding, and touched also at each announcement.
+	changed, touched chan struct{}
+	// confirmed holds the last version that each connected control VM has
+	// acknowledged; acked is closed and replaced at each acknowledgement.
+	confirmed map[fleet.VMID]registry.Version
+	acked     chan struct{}
+}
+
+// cursor is what a subscriber has been told.
+type cursor struct {
+	role     Role
+	version  registry.Version
+	number   catalog.Number
+	started  bool
+	complete bool
+	current  bool
+	controls []fleet.VMID
+}
+
+// NewBoard returns a board without a catalog.
+func NewBoard(targets *registry.Registry, now time.Time) *Board {
+	return &Board{
+		targets:    targets,
+		completeAt: now.Add(targets.SilenceLimit),
+		changed:    make(chan struct{}),
+		touched:    make(chan struct{}),
+		confirmed:  make(map[fleet.VMID]registry.Version),
+		acked:      make(chan struct{}),
+	}
+}
+
+// news returns a channel that is closed at the next change that matters for a
+// role.
+func (b *Board) news(r Role) <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r == Control {
+		return b.touched
+	}
+	return b.changed
+}
+
+// notify wakes the subscribers after a change of the targets from a version
+// on, or of anything else.
+func (b *Board) notify(targetsOnly bool, before registry.Version) {
+	close(b.touched)
+	b.touched = make(chan struct{})
+	if targetsOnly && b.targets.Changed() <= before {
+		return
+	}
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// SetCatalog publishes a catalog, unless one with a higher number is published.
+func (b *Board) SetCatalog(c *catalog.Catalog) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.catalog != nil && c.Number <= b.catalog.Number {
+		return
+	}
+	b.catalog = c
+	b.notify(false, 0)
+}
+
+// SetControls publishes the list of the control VMs, and whether this one is
+// in contact with a majority of them.
+func (b *Board) SetControls(ids []fleet.VMID, current bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if current == b.current && slices.Equal(ids, b.controls) {
+		return
+	}
+	b.controls, b.current = slices.Clone(ids), current
+	b.notify(false, 0)
+}
+
+// Controls returns the control VMs.
+func (b *Board) Controls() []fleet.VMID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.controls
+}
+
+// Merge takes a record; it returns the version that includes it.
+func (b *Board) Merge(rec registry.Record, now time.Time) (registry.Version, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before := b.targets.Changed()
+	news, err := b.targets.Merge(rec, now)
+	if err != nil {
+		return 0, err
+	}
+	if news {
+		b.notify(true, before)
+	}
+	return b.targets.Version(), nil
+}
+
+// Leave ends a target and returns the version that includes it.
+func (b *Board) Leave(id fleet.Incarnation, now time.Time) registry.Version {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before := b.targets.Changed()
+	if b.targets.Leave(id, now) {
+		b.notify(true, before)
+	}
+	return b.targets.Version()
+}
+
+// Take merges what another control VM has sent.
+func (b *Board) Take(u *Update, now time.Time) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before := b.targets.Changed()
+	news := false
+	for _, rec := range u.Records {
+		n, err := b.targets.Merge(rec, now)
+		if err != nil {
+			return err
+		}
+		news = news || n
+	}
+	if u.Full && u.Complete && now.Before(b.completeAt) {
+		b.completeAt = now
+	}
+	if news {
+		b.notify(true, before)
+	}
+	return nil
+}
+
+// Tick marks silent targets.
+func (b *Board) Tick(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before := b.targets.Changed()
+	b.targets.Tick(now)
+	complete := !now.Before(b.completeAt)
+	if b.targets.Changed() != before || complete != b.complete {
+		b.complete = complete
+		b.notify(false, 0)
+	}
+}
+
+// confirm notes an acknowledgement of a control VM.
+func (b *Board) confirm(vm fleet.VMID, v registry.Version) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.confirmed[vm] = v
+	close(b.acked)
+	b.acked = make(chan struct{})
+}
+
+// forget drops the acknowledgements of a control VM whose connection ended: it
+// may have restarted without memory of them.
+func (b *Board) forget(vm fleet.VMID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.confirmed, vm)
+}
+
+// Confirmed waits until a majority of the control VMs, self included, holds
+// the targets of a version; it returns the error of ctx if that comes first.
+func (b *Board) Confirmed(ctx context.Context, self fleet.VMID, v registry.Version) error {
+	for {
+		ok, acked := b.majority(self, v)
+		if ok {
+			return nil
+		}
+		select {
+		case <-acked:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (b *Board) majority(self fleet.VMID, v registry.Version) (bool, <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, id := range b.controls {
+		if id == self || b.confirmed[id] >= v {
+			n++
+		}
+	}
+	return n > len(b.controls)/2, b.acked
+}
+
+// next returns the update that a subscriber needs, or nil where nothing has
+// changed for it.
+func (b *Board) next(c *cursor, now time.Time) *Update {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := &Update{Version: b.targets.Version(), Complete: b.complete, Current: b.current}
+	since := c.version
+	switch c.role {
+	case Entry:
+		u.Records = b.targets.Changes(since, now)
+		if b.catalog != nil && b.catalog.Number > c.number {
+			u.Catalog = b.catalog
+			c.number = b.catalog.Number
+		}
+	case Control:
+		u.Records = b.targets.News(since, now)
+	}
+	u.Full = !c.started
+	if !slices.Equal(b.controls, c.controls) {
+		u.Controls = b.controls
+	}
+	same := c.started && u.Catalog == nil && len(u.Records) == 0 && u.Controls == nil &&
+		u.Complete == c.complete && u.Current == c.current
+	c.started, c.version, c.controls = true, u.Version, b.controls
+	c.complete, c.current = u.Complete, u.Current
+	if same {
+		return nil
+	}
+	return u
+}
+
+func (b *Board) beat(c *cursor) *Update {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return &Update{Version: c.version, Complete: b.complete, Current: b.current}
+}
--- /dev/null
+++ b/internal/feed/message.go
@@ -0,0 +1,153 @@
+package feed
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bamboowalk.org/bamboowalk/pkg/catalog"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/registry"
+)
+
+const (
+	// BeatInterval is the time between two updates of a publisher that has
+	// nothing to tell.
+	BeatInterval = 300 * time.Millisecond
+	// SilenceLimit is the time without an update after which a subscriber
+	// takes its publisher for unreachable: three beats and some delay.
+	SilenceLimit = 1200 * time.Millisecond
+	// maxFrame bounds the size of a message in bytes: a catalog of 4,300 routes
+	// and 23,000 records have about 3 MB.
+	maxFrame = 8 << 20
+
+	frameHeader = 4
+)
+
+// Roles of a subscriber.
+const (
+	Entry   Role = "Entry"
+	Control Role = "Control"
+)
+
+type (
+	// Role says what a subscriber needs.
+	Role string
+
+	// Hello is the first message of a subscriber.
+	Hello struct {
+		VM   fleet.VMID   `cbor:"1,keyasint"`
+		Zone fleet.ZoneID `cbor:"2,keyasint"`
+		Role Role         `cbor:"3,keyasint"`
+		// Number is that of the catalog that the subscriber holds.
+		Number catalog.Number `cbor:"4,keyasint"`
+	}
+
+	// Update tells a subscriber what has changed.
+	Update struct {
+		// Catalog is nil where it has not changed.
+		Catalog *catalog.Catalog  `cbor:"1,keyasint,omitempty"`
+		Records []registry.Record `cbor:"2,keyasint,omitempty"`
+		// Version is acknowledged by the subscriber.
+		Version registry.Version `cbor:"3,keyasint"`
+		// Full is set where Records holds all targets that the publisher knows,
+		// and Complete where no others exist as far as it can tell.
+		Full     bool `cbor:"4,keyasint,omitempty"`
+		Complete bool `cbor:"5,keyasint,omitempty"`
+		// Current is set while the publisher is in contact with a majority of
+		// the control VMs.
+		Current bool `cbor:"6,keyasint,omitempty"`
+		// Controls lists the control VMs; it is empty where it has not changed.
+		Controls []fleet.VMID `cbor:"7,keyasint,omitempty"`
+	}
+
+	// Ack tells a publisher what its subscriber has taken over.
+	Ack struct {
+		Version registry.Version `cbor:"1,keyasint"`
+		Number  catalog.Number   `cbor:"2,keyasint"`
+	}
+
+	// MessageError reports a message that can't be sent or decoded.
+	MessageError struct {
+		Type   string
+		Reason string
+		Err    error
+	}
+)
+
+// Error names the type of the message and the reason.
+func (e *MessageError) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("feed message %s: %s: %v", e.Type, e.Reason, e.Err)
+	}
+	return fmt.Sprintf("feed message %s: %s", e.Type, e.Reason)
+}
+
+// Unwrap returns the cause, if any.
+func (e *MessageError) Unwrap() error { return e.Err }
+
+// Validate returns a MessageError for a subscriber without name or role.
+func (h *Hello) Validate() error {
+	if h.VM == "" || h.Role != Entry && h.Role != Control {
+		return &MessageError{Type: "Hello", Reason: "has no name or no known role"}
+	}
+	return nil
+}
+
+// Validate returns a MessageError for an invalid catalog or record.
+func (u *Update) Validate() error {
+	if u.Catalog != nil {
+		if err := u.Catalog.Validate(); err != nil {
+			return &MessageError{Type: "Update", Reason: "has an invalid catalog", Err: err}
+		}
+	}
+	for i := range u.Records {
+		if err := u.Records[i].Validate(); err != nil {
+			return &MessageError{Type: "Update", Reason: "has an invalid record", Err: err}
+		}
+	}
+	return nil
+}
+
+// Validate accepts every acknowledgement.
+func (*Ack) Validate() error { return nil }
+
+// message is a type that travels over a feed.
+type message interface{ Validate() error }
+
+// encode returns a message with its length in front.
+func encode(m message) ([]byte, error) {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, &MessageError{Type: fmt.Sprintf("%T", m), Reason: "can't be encoded", Err: err}
+	}
+	if len(body) > maxFrame {
+		return nil, &MessageError{Type: fmt.Sprintf("%T", m), Reason: fmt.Sprintf("has %d bytes, at most %d are allowed", len(body), maxFrame)}
+	}
+	frame := make([]byte, 0, frameHeader+len(body))
+	frame = binary.BigEndian.AppendUint32(frame, uint32(len(body)))
+	return append(frame, body...), nil
+}
+
+// read reads and checks one message.
+func read(r io.Reader, m message) error {
+	var header [frameHeader]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(header[:])
+	if n > maxFrame {
+		return &MessageError{Type: fmt.Sprintf("%T", m), Reason: fmt.Sprintf("has %d bytes, at most %d are allowed", n, maxFrame)}
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return err
+	}
+	if err := cbor.Unmarshal(body, m); err != nil {
+		return &MessageError{Type: fmt.Sprintf("%T", m), Reason: "can't be decoded", Err: err}
+	}
+	return m.Validate()
+}
--- /dev/null
+++ b/internal/feed/publisher.go
@@ -0,0 +1,144 @@
+package feed
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// updateInterval is the least time between two updates of one subscriber,
+	// so that a series of changes makes one update.
+	updateInterval = 20 * time.Millisecond
+	// writeTimeout ends the connection to a subscriber that does not read.
+	writeTimeout = SilenceLimit
+	// helloTimeout bounds the wait for the first message.
+	helloTimeout = 2 * time.Second
+	// maxSubscribers bounds the connections; at the design scale 2,900 entry
+	// VMs share 16 control VMs, of which some may be down.
+	maxSubscribers = 1024
+)
+
+// Publisher serves the subscribers of a board. Exported fields are set before
+// Run.
+type Publisher struct {
+	Board    *Board
+	Listener net.Listener
+
+	subscribers atomic.Int64
+}
+
+// Subscribers returns the number of connections.
+func (p *Publisher) Subscribers() int { return int(p.subscribers.Load()) }
+
+// Run serves until ctx ends; it returns the error of the listener where that
+// fails before.
+func (p *Publisher) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { p.Listener.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	for {
+		conn, err := p.Listener.Accept()
+		if ctx.Err() != nil {
+			if err == nil {
+				conn.Close()
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if p.subscribers.Load() >= maxSubscribers {
+			conn.Close()
+			continue
+		}
+		p.subscribers.Add(1)
+		wg.Go(func() {
+			defer p.subscribers.Add(-1)
+			p.serve(ctx, conn)
+		})
+	}
+}
+
+// serve sends updates until the connection fails or ctx ends.
+func (p *Publisher) serve(ctx context.Context, conn net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	var hello Hello
+	if conn.SetReadDeadline(time.Now().Add(helloTimeout)) != nil || read(conn, &hello) != nil {
+		return
+	}
+	go func() {
+		defer cancel()
+		p.receive(conn, &hello)
+	}()
+	c := &cursor{role: hello.Role, number: hello.Number}
+	p.send(ctx, conn, c)
+	if hello.Role == Control {
+		p.Board.forget(hello.VM)
+	}
+}
+
+// receive takes acknowledgements until the connection fails.
+func (p *Publisher) receive(conn net.Conn, hello *Hello) {
+	for {
+		var ack Ack
+		// An acknowledgement follows each beat.
+		if conn.SetReadDeadline(time.Now().Add(2*SilenceLimit)) != nil || read(conn, &ack) != nil {
+			return
+		}
+		if hello.Role == Control {
+			p.Board.confirm(hello.VM, ack.Version)
+		}
+	}
+}
+
+func (p *Publisher) send(ctx context.Context, conn net.Conn, c *cursor) {
+	beat := time.NewTimer(0)
+	defer beat.Stop()
+	var news <-chan struct{}
+	for {
+		due := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-news:
+		case <-beat.C:
+			due = true
+		}
+		news = p.Board.news(c.role)
+		now := time.Now()
+		u := p.Board.next(c, now)
+		switch {
+		case u == nil && !due:
+			continue
+		case u == nil:
+			u = p.Board.beat(c)
+		}
+		if err := p.write(conn, u, now); err != nil {
+			return
+		}
+		beat.Reset(BeatInterval)
+		time.Sleep(updateInterval)
+	}
+}
+
+func (p *Publisher) write(conn net.Conn, u *Update, now time.Time) error {
+	frame, err := encode(u)
+	if err != nil {
+		return err
+	}
+	if err := conn.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
+		return err
+	}
+	_, err = conn.Write(frame)
+	return err
+}
--- /dev/null
+++ b/internal/gateway/daemon.go
@@ -0,0 +1,228 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"bamboowalk.org/bamboowalk/internal/feed"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/steering"
+)
+
+const (
+	// bufferSize holds a packet of the platform with its header.
+	bufferSize = 2048
+	// socketBuffer is the size of the receive buffer of the data socket in
+	// bytes: packets wait there while the process gets no processor time.
+	socketBuffer = 1 << 20
+	// quietTime is the time without packets after which a planned stop takes
+	// it that the routers have moved.
+	quietTime = 300 * time.Millisecond
+	// leastDrain covers the two missed health checks after which routers stop
+	// sending, at two checks a second.
+	leastDrain = 1200 * time.Millisecond
+	// readHeaderTimeout bounds the time that a caller takes for its headers.
+	readHeaderTimeout = 2 * time.Second
+)
+
+type (
+	// Settings are those of one entry VM.
+	Settings struct {
+		ID   fleet.VMID
+		Zone fleet.ZoneID
+		// Data receives packets, and HTTP health checks.
+		Data, HTTP netip.AddrPort
+		// Seeds are the HTTP addresses of some hubs.
+		Seeds []netip.AddrPort
+		// Feed is the port of the feed on every hub.
+		Feed uint16
+		// DrainTime bounds a planned stop.
+		DrainTime time.Duration
+	}
+
+	// Codec translates packets of the platform.
+	Codec interface {
+		// Decode reads a packet of a caller; it returns a typed error for bytes
+		// that are none.
+		Decode(b []byte, p *steering.Packet) error
+		// Forward appends the datagram that brings packet b to a target.
+		Forward(to, b []byte, t *steering.Target) []byte
+		// Reset appends a reset of the flow of packet b, and returns its
+		// destination.
+		Reset(to, b []byte, p *steering.Packet) ([]byte, netip.AddrPort)
+	}
+
+	// Daemon is one entry VM. Exported fields are set before Run.
+	Daemon struct {
+		Settings *Settings
+		Codec    Codec
+		// Handler adds the platform's health check of this VM to the HTTP
+		// interface.
+		Handler func(d *Daemon) http.Handler
+		Log     *zap.Logger
+
+		core     *steering.Core
+		conn     *net.UDPConn
+		follower *follower
+		ready    atomic.Bool
+		leaving  atomic.Bool
+		packets  atomic.Uint64
+		invalid  atomic.Uint64
+	}
+
+	// OpenError reports a port that can't be opened.
+	OpenError struct {
+		What string
+		Err  error
+	}
+
+	// SocketError reports a failure of the data socket.
+	SocketError struct {
+		Op  string
+		Err error
+	}
+)
+
+// Error names what can't be opened.
+func (e *OpenError) Error() string { return fmt.Sprintf("open %s: %v", e.What, e.Err) }
+
+// Unwrap returns the cause.
+func (e *OpenError) Unwrap() error { return e.Err }
+
+// Error names the operation and the cause.
+func (e *SocketError) Error() string { return fmt.Sprintf("data socket: %s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *SocketError) Unwrap() error { return e.Err }
+
+// Ready reports whether the VM can forward packets and is not about to stop.
+func (d *Daemon) Ready() bool { return d.ready.Load() && !d.leaving.Load() }
+
+// SetSeeds replaces the addresses of hubs.
+func (d *Daemon) SetSeeds(seeds []netip.AddrPort) { d.follower.setSeeds(seeds) }
+
+// Run serves until ctx ends, and then goes on until the routers have moved to
+// other VMs. It returns an OpenError or a SocketError.
+func (d *Daemon) Run(ctx context.Context) error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(d.Settings.Data))
+	if err != nil {
+		return &OpenError{What: "the data port", Err: err}
+	}
+	defer conn.Close()
+	if err := conn.SetReadBuffer(socketBuffer); err != nil {
+		d.Log.Warn("receive buffer keeps its default size", zap.Error(err))
+	}
+	listener, err := net.Listen("tcp", d.Settings.HTTP.String())
+	if err != nil {
+		return &OpenError{What: "the HTTP port", Err: err}
+	}
+	d.conn = conn
+	d.core = steering.New(d.Settings.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	d.follower = &follower{
+		hello: feed.Hello{VM: d.Settings.ID, Zone: d.Settings.Zone, Role: feed.Entry},
+		port:  d.Settings.Feed,
+		log:   d.Log,
+		apply: d.setMirror,
+	}
+	d.follower.setSeeds(d.Settings.Seeds)
+	server := &http.Server{Handler: d.Handler(d), ReadHeaderTimeout: readHeaderTimeout}
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	d.Log.Info("entry VM started", zap.String("Zone", string(d.Settings.Zone)))
+	group.Go(func() error { return d.follower.run(work) })
+	group.Go(func() error { return d.receive(work) })
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return &OpenError{What: "the HTTP interface", Err: err}
+		}
+		return nil
+	})
+	group.Go(func() error {
+		d.drain(ctx, work)
+		stop()
+		return errors.Join(server.Close(), conn.Close())
+	})
+	err = group.Wait()
+	d.Log.Info("entry VM stopped", zap.Error(err))
+	return err
+}
+
+func (d *Daemon) setMirror(m *mirror, now time.Time) {
+	v := m.view(now)
+	d.core.SetView(v)
+	if v.Ready() && !d.ready.Swap(true) {
+		d.Log.Info("entry VM is ready", zap.Uint64("Number", uint64(m.number())), zap.Int("Targets", len(m.records)))
+	}
+}
+
+// drain waits for the planned stop, and then until no more packets arrive.
+func (d *Daemon) drain(ctx, work context.Context) {
+	select {
+	case <-work.Done():
+		return
+	case <-ctx.Done():
+	}
+	d.leaving.Store(true)
+	d.Log.Info("entry VM is leaving")
+	end := time.Now().Add(d.Settings.DrainTime)
+	time.Sleep(leastDrain)
+	for last := d.packets.Load(); time.Now().Before(end); {
+		time.Sleep(quietTime)
+		n := d.packets.Load()
+		if n == last {
+			return
+		}
+		last = n
+	}
+}
+
+// receive reads packets and carries out what the core decides.
+func (d *Daemon) receive(ctx context.Context) error {
+	in := make([]byte, bufferSize)
+	out := make([]byte, 0, bufferSize)
+	var p steering.Packet
+	for {
+		n, _, err := d.conn.ReadFromUDPAddrPort(in)
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return &SocketError{Op: "read", Err: err}
+		}
+		d.packets.Add(1)
+		b := in[:n]
+		if err := d.Codec.Decode(b, &p); err != nil {
+			d.invalid.Add(1)
+			continue
+		}
+		out = d.act(out[:0], b, &p, time.Now())
+	}
+}
+
+func (d *Daemon) act(out, b []byte, p *steering.Packet, now time.Time) []byte {
+	decision := d.core.Decide(p, now)
+	var to netip.AddrPort
+	switch decision.Op {
+	case steering.Forward:
+		out = d.Codec.Forward(out, b, decision.Target)
+		to = decision.Target.ID.Address
+	case steering.Reset:
+		out, to = d.Codec.Reset(out, b, p)
+	default:
+		return out
+	}
+	// A datagram that can't be sent is lost, as on the network.
+	_, _ = d.conn.WriteToUDPAddrPort(out, to)
+	return out
+}
--- /dev/null
+++ b/internal/gateway/mirror.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"time"
+
+	"bamboowalk.org/bamboowalk/internal/feed"
+	"bamboowalk.org/bamboowalk/pkg/catalog"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/registry"
+	"bamboowalk.org/bamboowalk/pkg/steering"
+)
+
+// mirror is the copy of the catalog and the targets that a feed has brought.
+// The catalog's number never falls.
+type mirror struct {
+	catalog *catalog.Catalog
+	records map[fleet.Incarnation]mirrored
+}
+
+// mirrored is a record with the time at which it arrived.
+type mirrored struct {
+	registry.Record
+	arrived time.Time
+}
+
+// number returns the number of the catalog, 0 where there is none.
+func (m *mirror) number() catalog.Number {
+	if m.catalog == nil {
+		return 0
+	}
+	return m.catalog.Number
+}
+
+// take merges an update and reports whether it has changed anything.
+func (m *mirror) take(u *feed.Update, now time.Time) bool {
+	changed := len(u.Records) > 0
+	if u.Full && u.Complete && len(m.records) > 0 {
+		clear(m.records)
+		changed = true
+	}
+	if m.records == nil {
+		m.records = make(map[fleet.Incarnation]mirrored)
+	}
+	for _, rec := range u.Records {
+		m.records[rec.Target.ID.Incarnation] = mirrored{rec, now}
+	}
+	if u.Catalog != nil && u.Catalog.Number > m.number() {
+		m.catalog = u.Catalog
+		changed = true
+	}
+	m.forget(now)
+	return changed
+}
+
+// forget drops targets that have been gone for long enough.
+func (m *mirror) forget(now time.Time) {
+	for id, rec := range m.records {
+		if rec.Gone() && now.Sub(rec.arrived)+rec.Age > registry.GoneRetention {
+			delete(m.records, id)
+		}
+	}
+}
+
+// view builds the view for the core.
+func (m *mirror) view(now time.Time) *steering.View {
+	records := make([]registry.Record, 0, len(m.records))
+	for _, rec := range m.records {
+		r := rec.Record
+		r.Warmup = max(r.Warmup-now.Sub(rec.arrived), 0)
+		records = append(records, r)
+	}
+	return steering.NewView(m.catalog, records, now)
+}
--- /dev/null
+++ b/pkg/catalog/catalog.go
@@ -0,0 +1,96 @@
+package catalog
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+type (
+	// Number orders the documents of a catalog; the highest is in force.
+	Number uint64
+
+	// Share is the part of a route's new flows that a service gets.
+	Share struct {
+		Service fleet.ServiceID `cbor:"1,keyasint"`
+		Weight  uint32          `cbor:"2,keyasint"`
+	}
+
+	// Route sends the new flows of one address to services.
+	Route struct {
+		Name    string         `cbor:"1,keyasint"`
+		Address netip.AddrPort `cbor:"2,keyasint"`
+		Kind    fleet.KindName `cbor:"3,keyasint"`
+		// Idempotent requests may run more than once.
+		Idempotent bool          `cbor:"4,keyasint"`
+		Urgency    fleet.Urgency `cbor:"5,keyasint"`
+		// Objective is the time within which a request should be answered, and
+		// Deadline that after which its answer is worthless.
+		Objective time.Duration `cbor:"6,keyasint"`
+		Deadline  time.Duration `cbor:"7,keyasint"`
+		Shares    []Share       `cbor:"8,keyasint"`
+	}
+
+	// Service is a set of targets that serve the same requests.
+	Service struct {
+		ID              fleet.ServiceID `cbor:"1,keyasint"`
+		HealthPath      string          `cbor:"2,keyasint"`
+		ConnectionLimit int             `cbor:"3,keyasint"`
+	}
+
+	// Catalog is the configuration of one number. It must not be changed after
+	// Validate.
+	Catalog struct {
+		Number      Number        `cbor:"1,keyasint"`
+		Routes      []Route       `cbor:"2,keyasint"`
+		Services    []Service     `cbor:"3,keyasint"`
+		IdleTimeout time.Duration `cbor:"4,keyasint"`
+	}
+)
+
+// Validate returns a fleet.FieldError for the first value out of range, and a
+// fleet.UnknownError for a route to a service that does not exist.
+func (c *Catalog) Validate() error {
+	services := make(map[fleet.ServiceID]bool, len(c.Services))
+	for i := range c.Services {
+		s := &c.Services[i]
+		if s.ID == "" || services[s.ID] {
+			return &fleet.FieldError{Type: "Service", Field: "ID", Reason: fmt.Sprintf("%q must be unique and not empty", s.ID)}
+		}
+		services[s.ID] = true
+	}
+	addresses := make(map[netip.AddrPort]bool, len(c.Routes))
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if err := r.validate(services); err != nil {
+			return fmt.Errorf("route %q: %w", r.Name, err)
+		}
+		if addresses[r.Address] {
+			return &fleet.FieldError{Type: "Route", Field: "Address", Reason: fmt.Sprintf("%s stands twice", r.Address)}
+		}
+		addresses[r.Address] = true
+	}
+	return nil
+}
+
+func (r *Route) validate(services map[fleet.ServiceID]bool) error {
+	if !r.Address.IsValid() || r.Address.Port() == 0 {
+		return &fleet.FieldError{Type: "Route", Field: "Address", Reason: "must be an IP address and a port"}
+	}
+	if r.Deadline <= 0 {
+		return &fleet.FieldError{Type: "Route", Field: "Deadline", Reason: "must be above 0"}
+	}
+	var total uint64
+	for _, s := range r.Shares {
+		if !services[s.Service] {
+			return &fleet.UnknownError{Type: "service", Name: string(s.Service)}
+		}
+		total += uint64(s.Weight)
+	}
+	if total == 0 {
+		return &fleet.FieldError{Type: "Route", Field: "Shares", Reason: "must have a weight above 0"}
+	}
+	return nil
+}
--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"slices"
 
 	"bamboowalk.org/bamboowalk/pkg/fleet"
@@ -219,23 +220,63 @@
 	return id, nil
 }
 
-// manageLearners proposes at most one change: the replacement of a member by
-// its new incarnation as a learner, or the promotion of a learner. A learner's
-// match is durable, because replies are released only after a sync.
-func (r *Replica) manageLearners() {
+// manageMembers proposes at most one change: the removal of a silent voter, the
+// replacement of a member by its new incarnation as a learner, the promotion of
+// a learner, or the admission of a new replica. A learner's match is durable,
+// because replies are released only after a sync.
+func (r *Replica) manageMembers() {
 	c := r.config()
+	if vm := r.replaceable(); vm != "" {
+		r.changeOwn(vm, c.without(vm))
+		return
+	}
 	for _, m := range c.Members {
 		if inc := r.joining[m.VM]; inc > m.Incarnation && m.VM != r.self.VM {
-			r.changeOwn(c.with(Member{Identity: Identity{VM: m.VM, Incarnation: inc}}))
+			r.changeOwn(m.VM, c.with(Member{Identity: Identity{VM: m.VM, Incarnation: inc}}))
 			return
 		}
-		p := r.progress[m.VM]
-		if m.Voter || p == nil || p.match < max(r.beatCommit, r.noop) || !r.heardRecently(m.Identity) {
-			continue
+		if r.promotable(&m) {
+			r.changeOwn(m.VM, c.with(Member{Identity: m.Identity, Voter: true}))
+			return
 		}
-		r.changeOwn(c.with(Member{Identity: m.Identity, Voter: true}))
+	}
+	if !r.o.Admit {
 		return
 	}
+	for _, vm := range slices.Sorted(maps.Keys(r.joining)) {
+		if c.find(vm) == nil {
+			r.changeOwn(vm, c.with(Member{Identity: Identity{VM: vm, Incarnation: r.joining[vm]}}))
+			return
+		}
+	}
+}
+
+// promotable reports whether a member is a learner whose copy is caught up.
+func (r *Replica) promotable(m *Member) bool {
+	p := r.progress[m.VM]
+	return !m.Voter && p != nil && p.match >= max(r.beatCommit, r.noop) && r.heardRecently(m.Identity)
+}
+
+// replaceable returns a member that has been silent for ReplaceAfter: a
+// learner, or a voter whose removal leaves a better set of voters, since a
+// learner takes its place or the number of voters becomes odd. Removing it
+// before the promotion keeps the quorum among replicas that are known to run.
+func (r *Replica) replaceable() fleet.VMID {
+	if r.o.ReplaceAfter == 0 {
+		return ""
+	}
+	c := r.config()
+	voters := c.voters()
+	spare := slices.ContainsFunc(c.Members, func(m Member) bool { return r.promotable(&m) })
+	keepVoters := !spare && (len(voters)%2 == 1 || len(voters) == 2)
+	for _, m := range c.Members {
+		p := r.progressOf(m.Identity)
+		silent := m.Identity != r.self && p != nil && r.promise-p.heard >= r.o.ReplaceAfter
+		if silent && !(m.Voter && keepVoters) {
+			return m.VM
+		}
+	}
+	return ""
 }
 
 // syncedVoters counts the voters whose durable copy holds the newest config,
@@ -254,10 +295,12 @@
 	return n
 }
 
-// changeOwn proposes a config that nobody requested, so that no Result is
-// reported. A refusal is tried again at the next heartbeat.
-func (r *Replica) changeOwn(next Config) {
-	if _, err := r.changeTo("", next); err == nil {
+// changeOwn proposes a config about vm that nobody requested, so that no Result
+// is reported. A refusal is tried again at the next heartbeat. The replica must
+// announce itself again to be admitted again.
+func (r *Replica) changeOwn(vm fleet.VMID, next Config) {
+	if _, err := r.changeTo(vm, next); err == nil {
+		delete(r.joining, vm)
 		r.pendingBytes -= len(r.entry(r.lastIndex()).Data)
 		delete(r.waiting, r.lastIndex())
 	}
--- a/pkg/replica/election.go
+++ b/pkg/replica/election.go
@@ -22,6 +22,7 @@
 	sender := Identity{VM: from, Incarnation: m.From}
 	switch m.Kind {
 	case PreVote:
+		r.handleStranger(sender)
 		r.handlePreVote(sender, &m)
 	case Vote:
 		r.handleVote(sender, &m)
@@ -246,3 +247,11 @@
 		r.joining[from.VM] = from.Incarnation
 	}
 }
+
+// handleStranger takes a candidate that is no member for one that was removed
+// while it was silent, and that can't know it.
+func (r *Replica) handleStranger(from Identity) {
+	if r.o.Admit && r.role == roleLeader && r.config().find(from.VM) == nil {
+		r.handleJoin(from)
+	}
+}
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -165,7 +165,7 @@
 	r.readIDs++
 	r.stats.Reads++
 	read := pendingRead{id: r.readIDs, index: max(r.commit, r.noop)}
-	if r.leaseValid() {
+	if !r.o.QuorumReads && r.leaseValid() {
 		r.stats.ReadsByLease++
 	} else {
 		read.round = r.round + 1
@@ -221,7 +221,7 @@
 		r.loseLeadership(eventQuorumLost)
 		return
 	}
-	r.manageLearners()
+	r.manageMembers()
 	r.beatCommit = r.commit
 	r.wantBeat = true
 }
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -77,6 +77,18 @@
 		SnapshotBytes int
 		// KeepEntries is the number of applied entries kept for followers.
 		KeepEntries int
+		// Admit lets the leader add every replica that announces itself, as a
+		// learner first. Without it an operator adds replicas by Change.
+		Admit bool
+		// ReplaceAfter is the silence after which the leader removes a voter
+		// whose place a learner can take, or without which the number of voters
+		// is odd; 0 removes none. A removed replica that comes back is admitted
+		// anew, so that ReplaceAfter needs Admit.
+		ReplaceAfter time.Duration
+		// QuorumReads lets each read wait for a round of a quorum. It is needed
+		// where the clock may stand still while a machine is suspended, since a
+		// lease then seems to last on.
+		QuorumReads bool
 		// MaxCommand, MaxPending, MaxBatch and ChunkSize are in bytes:
 		// one command, all uncommitted commands, the entries of one message,
 		// and the part of a snapshot in one message.
