--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -73,7 +73,7 @@
 
 		core     *steering.Core
 		conn     *net.UDPConn
-		follower *follower
+		follower follower
 		ready    atomic.Bool
 		leaving  atomic.Bool
 		packets  atomic.Uint64
@@ -108,7 +108,7 @@
 // Ready reports whether the VM can forward packets and is not about to stop.
 func (d *Daemon) Ready() bool { return d.ready.Load() && !d.leaving.Load() }
 
-// SetSeeds replaces the addresses of hubs.
+// SetSeeds replaces the addresses of hubs; it may be called at any time.
 func (d *Daemon) SetSeeds(seeds []netip.AddrPort) { d.follower.setSeeds(seeds) }
 
 // Run serves until ctx ends, and then goes on until the routers have moved to
@@ -128,12 +128,8 @@
 	}
 	d.conn = conn
 	d.core = steering.New(d.Settings.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	d.follower = &follower{
-		hello: feed.Hello{VM: d.Settings.ID, Zone: d.Settings.Zone, Role: feed.Entry},
-		port:  d.Settings.Feed,
-		log:   d.Log,
-		apply: d.setMirror,
-	}
+	d.follower.hello = feed.Hello{VM: d.Settings.ID, Zone: d.Settings.Zone, Role: feed.Entry}
+	d.follower.port, d.follower.log, d.follower.apply = d.Settings.Feed, d.Log, d.setMirror
 	d.follower.setSeeds(d.Settings.Seeds)
 	server := &http.Server{Handler: d.Handler(d), ReadHeaderTimeout: readHeaderTimeout}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"slices"
 	"sync/atomic"
@@ -60,6 +61,8 @@
 		// log is nil while the replica is down.
 		log  atomic.Pointer[log]
 		role string
+		// seeds replace those of the settings after a reload.
+		seeds atomic.Pointer[[]netip.AddrPort]
 	}
 
 	// log is the running replica with its state machine.
@@ -109,6 +112,16 @@
 // Error says that the replica is down.
 func (replicaDownError) Error() string { return "the replica of this hub is down" }
 
+// SetSeeds replaces the addresses of hubs; it may be called at any time.
+func (d *Daemon) SetSeeds(seeds []netip.AddrPort) { d.seeds.Store(&seeds) }
+
+func (d *Daemon) currentSeeds() []netip.AddrPort {
+	if s := d.seeds.Load(); s != nil {
+		return *s
+	}
+	return d.Settings.Seeds
+}
+
 // Run serves until ctx ends. It returns an OpenError where a port can't be
 // opened.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -204,7 +217,7 @@
 		QuorumReads:  true,
 	}
 	var members []replica.Member
-	for _, seed := range d.Settings.Seeds {
+	for _, seed := range d.currentSeeds() {
 		id := IDOf(seed)
 		o.Peers = append(o.Peers, id)
 		members = append(members, replica.Member{Identity: replica.Identity{VM: id, Incarnation: firstIncarnation}, Voter: true})
--- a/internal/hub/peers.go
+++ b/internal/hub/peers.go
@@ -58,7 +58,7 @@
 	for _, id := range d.board.Controls() {
 		ids[id] = true
 	}
-	for _, seed := range d.Settings.Seeds {
+	for _, seed := range d.currentSeeds() {
 		ids[IDOf(seed)] = true
 	}
 	delete(ids, d.Settings.ID())
