Publish what a hub had published before a loss of power

Cause: after the final loss of power everywhere, entry VMs waited 1.7 s longer than their start for an election (no catalog before a leader commits) and for the heartbeats of targets; the first targets known were overloaded (252 sheds). Ruled out: start of the processes (0.4 s after power is back). Change: hubs write catalog and targets to a file after each change and publish it at their start; it holds only what was committed or announced.

--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,8 @@
 	// firstIncarnation is that of the first replicas, which all must agree on.
 	firstIncarnation = 1
 	folderMode       = 0o700
+	// logFolder holds the replica's files, below the data folder.
+	logFolder = "log"
 	// stopTimeout bounds the wait for calls in progress at a planned stop.
 	stopTimeout = 500 * time.Millisecond
 	// reopenDelay is the pause before a replica that a failed disk has stopped
@@ -128,6 +131,7 @@
 	now := time.Now()
 	silence := time.Duration(silentAnnouncements * float64(d.Settings.AnnounceInterval))
 	d.board = feed.NewBoard(registry.New(silence, now), now)
+	d.restore(now)
 	listen := func(address string) (net.Listener, error) {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
@@ -164,6 +168,7 @@
 	group.Go(func() error { return publisher.Run(ctx) })
 	group.Go(func() error { return d.runReplica(ctx) })
 	group.Go(func() error { return d.runBoard(ctx) })
+	group.Go(func() error { return d.runCache(ctx) })
 	group.Go(func() error { return d.followHubs(ctx) })
 	group.Go(func() error { return d.serve(ctx, calls) })
 	err = group.Wait()
@@ -202,10 +207,11 @@
 }
 
 func (d *Daemon) openReplica(m replica.StateMachine, now time.Time) (*replica.Replica, error) {
-	if err := os.MkdirAll(d.Settings.Data, folderMode); err != nil {
+	folder := filepath.Join(d.Settings.Data, logFolder)
+	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, &OpenError{What: "the data folder", Err: err}
 	}
-	fs := replica.DirFS(d.Settings.Data)
+	fs := replica.DirFS(folder)
 	o := replica.Options{
 		Self:         d.Settings.ID(),
 		Incarnation:  fleet.Incarnation(now.UnixNano()),
