Let entry VMs ask several hubs at once and prefer those of their zone

Cause: an entry VM waited 400 ms for a hub without power before it asked the next one, and all of them asked the same seed first. Change: the next hub is asked after 40 ms beside those that have not answered; a VM that follows a hub in another zone, or one without a majority, looks for a better one while it goes on.

--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -18,7 +18,9 @@
 	catalog  *catalog.Catalog
 	current  bool
 	complete bool
-	controls []fleet.VMID
+	hubs     []Hub
+	// zones holds the zone of each hub that has introduced itself.
+	zones map[fleet.VMID]fleet.ZoneID
 	// completeAt is the time from which every live target has had the chance
 	// to announce itself.
 	completeAt time.Time
@@ -39,12 +41,13 @@
 	started  bool
 	complete bool
 	current  bool
-	controls []fleet.VMID
+	hubs     []Hub
 }
 
-// NewBoard returns a board without a catalog.
-func NewBoard(targets *registry.Registry, now time.Time) *Board {
+// NewBoard returns the board of hub self without a catalog.
+func NewBoard(self Hub, targets *registry.Registry, now time.Time) *Board {
 	return &Board{
+		zones:      map[fleet.VMID]fleet.ZoneID{self.VM: self.Zone},
 		targets:    targets,
 		completeAt: now.Add(targets.SilenceLimit),
 		changed:    make(chan struct{}),
@@ -88,23 +91,34 @@
 	b.notify(false, 0)
 }
 
-// SetControls publishes the list of the control VMs, and whether this one is
-// in contact with a majority of them.
-func (b *Board) SetControls(ids []fleet.VMID, current bool) {
+// SetHubs publishes the list of the hubs, and whether this one is in contact
+// with a majority of them.
+func (b *Board) SetHubs(ids []fleet.VMID, current bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if current == b.current && slices.Equal(ids, b.controls) {
+	hubs := make([]Hub, 0, len(ids))
+	for _, id := range ids {
+		hubs = append(hubs, Hub{VM: id, Zone: b.zones[id]})
+	}
+	if current == b.current && slices.Equal(hubs, b.hubs) {
 		return
 	}
-	b.controls, b.current = slices.Clone(ids), current
+	b.hubs, b.current = hubs, current
 	b.notify(false, 0)
 }
 
-// Controls returns the control VMs.
-func (b *Board) Controls() []fleet.VMID {
+// Hubs returns the hubs.
+func (b *Board) Hubs() []Hub {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hubs
+}
+
+// introduce notes the zone of a hub.
+func (b *Board) introduce(id fleet.VMID, zone fleet.ZoneID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.controls
+	b.zones[id] = zone
 }
 
 // Merge takes a record; it returns the version that includes it.
@@ -205,12 +219,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := 0
-	for _, id := range b.controls {
-		if id == self || b.confirmed[id] >= v {
+	for _, h := range b.hubs {
+		if h.VM == self || b.confirmed[h.VM] >= v {
 			n++
 		}
 	}
-	return n > len(b.controls)/2, b.acked
+	return n > len(b.hubs)/2, b.acked
 }
 
 // next returns the update that a subscriber needs, or nil where nothing has
@@ -231,12 +245,12 @@
 		u.Records = b.targets.News(since, now)
 	}
 	u.Full = !c.started
-	if !slices.Equal(b.controls, c.controls) {
-		u.Controls = b.controls
+	if !slices.Equal(b.hubs, c.hubs) {
+		u.Hubs = b.hubs
 	}
-	same := c.started && u.Catalog == nil && len(u.Records) == 0 && u.Controls == nil &&
+	same := c.started && u.Catalog == nil && len(u.Records) == 0 && u.Hubs == nil &&
 		u.Complete == c.complete && u.Current == c.current
-	c.started, c.version, c.controls = true, u.Version, b.controls
+	c.started, c.version, c.hubs = true, u.Version, b.hubs
 	c.complete, c.current = u.Complete, u.Current
 	if same {
 		return nil
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -60,8 +60,14 @@
 		// Current is set while the publisher is in contact with a majority of
 		// the control VMs.
 		Current bool `cbor:"6,keyasint,omitempty"`
-		// Controls lists the control VMs; it is empty where it has not changed.
-		Controls []fleet.VMID `cbor:"7,keyasint,omitempty"`
+		// Hubs lists the control VMs; it is empty where it has not changed.
+		Hubs []Hub `cbor:"7,keyasint,omitempty"`
+	}
+
+	// Hub is a control VM; Zone is empty where it is not known.
+	Hub struct {
+		VM   fleet.VMID   `cbor:"1,keyasint"`
+		Zone fleet.ZoneID `cbor:"2,keyasint,omitempty"`
 	}
 
 	// Ack tells a publisher what its subscriber has taken over.
--- a/internal/feed/publisher.go
+++ b/internal/feed/publisher.go
@@ -76,6 +76,9 @@
 	if conn.SetReadDeadline(time.Now().Add(helloTimeout)) != nil || read(conn, &hello) != nil {
 		return
 	}
+	if hello.Role == Control {
+		p.Board.introduce(hello.VM, hello.Zone)
+	}
 	go func() {
 		defer cancel()
 		p.receive(conn, &hello)
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -10,47 +10,57 @@
 // refuse one.
 const dialTimeout = 400 * time.Millisecond
 
-// Subscribe follows the feed of one publisher until the connection fails, ctx
-// ends or handle returns an error. hello returns the first message; handle
-// takes each update and returns the acknowledgement.
-func Subscribe(ctx context.Context, address string, hello *Hello, handle func(*Update) (Ack, error)) error {
+// Subscription is the feed of one publisher. One goroutine uses it.
+type Subscription struct {
+	conn net.Conn
+	stop func() bool
+}
+
+// Open connects to a publisher and says who asks. The subscription ends with
+// ctx.
+func Open(ctx context.Context, address string, hello *Hello) (*Subscription, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	defer stop()
-	if err := write(conn, hello); err != nil {
-		return err
+	s := &Subscription{conn: conn, stop: context.AfterFunc(ctx, func() { conn.Close() })}
+	if err := s.write(hello); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Next returns the next update; it fails after SilenceLimit without one.
+func (s *Subscription) Next() (*Update, error) {
+	if err := s.conn.SetReadDeadline(time.Now().Add(SilenceLimit)); err != nil {
+		return nil, err
 	}
-	for {
-		u := new(Update)
-		if err := conn.SetReadDeadline(time.Now().Add(SilenceLimit)); err != nil {
-			return err
-		}
-		if err := read(conn, u); err != nil {
-			return err
-		}
-		ack, err := handle(u)
-		if err != nil {
-			return err
-		}
-		if err := write(conn, &ack); err != nil {
-			return err
-		}
+	u := new(Update)
+	if err := read(s.conn, u); err != nil {
+		return nil, err
 	}
+	return u, nil
+}
+
+// Acknowledge tells the publisher what has been taken over.
+func (s *Subscription) Acknowledge(a Ack) error { return s.write(&a) }
+
+// Close ends the subscription.
+func (s *Subscription) Close() {
+	s.stop()
+	s.conn.Close()
 }
 
-func write(conn net.Conn, m message) error {
+func (s *Subscription) write(m message) error {
 	frame, err := encode(m)
 	if err != nil {
 		return err
 	}
-	if err := conn.SetWriteDeadline(time.Now().Add(SilenceLimit)); err != nil {
+	if err := s.conn.SetWriteDeadline(time.Now().Add(SilenceLimit)); err != nil {
 		return err
 	}
-	_, err = conn.Write(frame)
+	_, err = s.conn.Write(frame)
 	return err
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -128,8 +128,8 @@
 	}
 	d.conn = conn
 	d.core = steering.New(d.Settings.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	d.follower.hello = feed.Hello{VM: d.Settings.ID, Zone: d.Settings.Zone, Role: feed.Entry}
-	d.follower.port, d.follower.log, d.follower.apply = d.Settings.Feed, d.Log, d.setMirror
+	d.follower.Hello = feed.Hello{VM: d.Settings.ID, Zone: d.Settings.Zone, Role: feed.Entry}
+	d.follower.Port, d.follower.Log, d.follower.Apply = d.Settings.Feed, d.Log, d.setMirror
 	d.follower.setSeeds(d.Settings.Seeds)
 	server := &http.Server{Handler: d.Handler(d), ReadHeaderTimeout: readHeaderTimeout}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -11,43 +11,49 @@
 
 	"bamboowalk.org/bamboowalk/internal/feed"
 	"bamboowalk.org/bamboowalk/internal/hub"
+	"bamboowalk.org/bamboowalk/pkg/catalog"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
 const (
-	// retryDelay is the pause after a failed attempt to follow a hub.
+	// retryDelay is the pause after all known hubs have failed.
 	retryDelay = 50 * time.Millisecond
+	// attemptDelay is the time after which the next hub is tried beside those
+	// that have not answered yet: a hub in another zone answers within some
+	// milliseconds.
+	attemptDelay = 40 * time.Millisecond
 	// staleLimit is the time for which a feed is kept although its hub has no
 	// contact with a majority: an election may be going on.
 	staleLimit = time.Second
-	// searchPause is the time for which a stale feed is kept before another
-	// search, where no hub is known to be current.
-	searchPause = 3 * time.Second
+	// searchInterval is the time between two searches for a better hub.
+	searchInterval = 2 * time.Second
 )
 
-// follower keeps the mirror up to date from one hub at a time.
-type follower struct {
-	hello feed.Hello
-	port  uint16
-	log   *zap.Logger
-	// apply takes a changed mirror.
-	apply func(m *mirror, now time.Time)
-
-	mu     sync.Mutex
-	seeds  []fleet.VMID
-	hubs   []fleet.VMID
-	mirror mirror
-	// failed holds the time of the last failure of a hub, and stale the time at
-	// which it was last without a majority.
-	failed map[fleet.VMID]time.Time
-	stale  map[fleet.VMID]time.Time
-}
+type (
+	// follower keeps the mirror up to date from one hub at a time. Fields with
+	// capitals are set before run.
+	follower struct {
+		Hello feed.Hello
+		// Port is that of the feed on every hub.
+		Port uint16
+		Log  *zap.Logger
+		// Apply takes a changed mirror.
+		Apply func(m *mirror, now time.Time)
 
-// staleError ends the feed of a hub that has lost the majority.
-type staleError struct{ hub fleet.VMID }
+		// mu guards what setSeeds and searches share with the goroutine of run.
+		mu     sync.Mutex
+		seeds  []fleet.VMID
+		hubs   []feed.Hub
+		mirror mirror
+	}
 
-// Error names the hub.
-func (e *staleError) Error() string { return "hub " + string(e.hub) + " is without a majority" }
+	// source is a hub whose feed has begun.
+	source struct {
+		hub   fleet.VMID
+		feed  *feed.Subscription
+		first *feed.Update
+	}
+)
 
 // setSeeds replaces the addresses from the settings.
 func (f *follower) setSeeds(seeds []netip.AddrPort) {
@@ -59,16 +65,44 @@
 	}
 }
 
+// candidates returns the hubs in the order in which they are tried: those of
+// the own zone, other known ones, and the seeds. near leaves out all but the
+// own zone's.
+func (f *follower) candidates(near bool) []fleet.VMID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all, far []fleet.VMID
+	for _, h := range f.hubs {
+		if h.Zone == f.Hello.Zone {
+			all = append(all, h.VM)
+		} else {
+			far = append(far, h.VM)
+		}
+	}
+	if near {
+		return all
+	}
+	all = append(all, far...)
+	for _, s := range f.seeds {
+		if !slices.Contains(all, s) {
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
 // run follows hubs until ctx ends.
 func (f *follower) run(ctx context.Context) error {
-	f.failed, f.stale = make(map[fleet.VMID]time.Time), make(map[fleet.VMID]time.Time)
+	var s *source
 	for ctx.Err() == nil {
-		id := f.pick()
-		err := f.follow(ctx, id)
-		if ctx.Err() != nil {
-			return nil
+		if s == nil {
+			s = f.search(ctx, f.candidates(false))
+		}
+		if s != nil {
+			s = f.follow(ctx, s)
+			continue
 		}
-		f.log.Warn("feed lost", zap.String("Hub", string(id)), zap.Error(err))
+		f.Log.Warn("no hub answers")
 		select {
 		case <-ctx.Done():
 		case <-time.After(retryDelay):
@@ -77,83 +111,157 @@
 	return nil
 }
 
-// pick returns the hub to follow next: one that has neither failed nor been
-// without a majority, else the one for which that is longest ago. Known hubs
-// come in the order of their distance, seeds last.
-func (f *follower) pick() fleet.VMID {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	candidates := slices.Clone(f.hubs)
-	for _, s := range f.seeds {
-		if !slices.Contains(candidates, s) {
-			candidates = append(candidates, s)
+// search asks hubs one after the other, without waiting for those that are
+// slow. It returns the first that is in contact with a majority, else one that
+// has answered, or nil.
+func (f *follower) search(ctx context.Context, candidates []fleet.VMID) *source {
+	number := f.number()
+	answers := make(chan *source, len(candidates))
+	var best *source
+	pending := 0
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for len(candidates) > 0 || pending > 0 {
+		select {
+		case <-next.C:
+			if len(candidates) == 0 {
+				// One that has answered is better than one that may never do.
+				closeLater(answers, pending)
+				return best
+			}
+			id := candidates[0]
+			candidates = candidates[1:]
+			pending++
+			go func() { answers <- f.open(ctx, id, number) }()
+			if len(candidates) > 0 || best != nil {
+				next.Reset(attemptDelay)
+			}
+		case s := <-answers:
+			pending--
+			best = better(best, s)
+			if best != nil && best.first.Current {
+				closeLater(answers, pending)
+				return best
+			}
+			next.Reset(0)
 		}
 	}
-	var best fleet.VMID
-	var bestAt time.Time
-	for _, id := range candidates {
-		at := f.failed[id]
-		if s := f.stale[id]; s.After(at) {
-			at = s
-		}
-		if best == "" || at.Before(bestAt) {
-			best, bestAt = id, at
+	return best
+}
+
+// better returns the better of two sources, of which any may be nil, and closes
+// the other one.
+func better(a, b *source) *source {
+	if a == nil || b != nil && b.first.Current && !a.first.Current {
+		a, b = b, a
+	}
+	if b != nil {
+		b.feed.Close()
+	}
+	return a
+}
+
+// closeLater closes the sources that still come.
+func closeLater(answers <-chan *source, n int) {
+	go func() {
+		for range n {
+			better(nil, <-answers).close()
 		}
+	}()
+}
+
+func (s *source) close() {
+	if s != nil {
+		s.feed.Close()
 	}
-	return best
 }
 
-func (f *follower) follow(ctx context.Context, id fleet.VMID) error {
-	hello := f.hello
-	hello.Number = f.mirror.number()
-	var staleSince time.Time
-	first := true
-	err := feed.Subscribe(ctx, hub.AddressOf(id, f.port), &hello, func(u *feed.Update) (feed.Ack, error) {
+// open begins the feed of a hub; it returns nil where that fails.
+func (f *follower) open(ctx context.Context, id fleet.VMID, number catalog.Number) *source {
+	hello := f.Hello
+	hello.Number = number
+	sub, err := feed.Open(ctx, hub.AddressOf(id, f.Port), &hello)
+	if err != nil {
+		return nil
+	}
+	first, err := sub.Next()
+	if err != nil {
+		sub.Close()
+		return nil
+	}
+	return &source{hub: id, feed: sub, first: first}
+}
+
+// follow takes the updates of a source until its feed fails or a better one is
+// found, which it returns.
+func (f *follower) follow(ctx context.Context, s *source) *source {
+	defer s.feed.Close()
+	f.Log.Info("feed connected", zap.String("Hub", string(s.hub)), zap.Bool("Current", s.first.Current),
+		zap.Bool("Complete", s.first.Complete), zap.Int("Targets", len(s.first.Records)))
+	var found chan *source
+	var searched, current time.Time
+	for u := s.first; ; {
 		now := time.Now()
-		if first {
-			first = false
-			f.log.Info("feed connected", zap.String("Hub", string(id)), zap.Bool("Current", u.Current),
-				zap.Bool("Complete", u.Complete), zap.Int("Targets", len(u.Records)))
-		}
 		f.take(u, now)
-		switch {
-		case u.Current:
-			staleSince = time.Time{}
-		case staleSince.IsZero():
-			staleSince = now
-		case now.Sub(staleSince) > f.patience(id, now):
-			f.mu.Lock()
-			f.stale[id] = now
-			f.mu.Unlock()
-			return feed.Ack{}, &staleError{id}
+		if u.Current || current.IsZero() {
+			current = now
 		}
-		return feed.Ack{Version: u.Version, Number: f.mirror.number()}, nil
-	})
-	f.mu.Lock()
-	f.failed[id] = time.Now()
-	f.mu.Unlock()
-	return err
+		stale := now.Sub(current) > staleLimit
+		if found == nil && now.Sub(searched) > searchInterval && (stale || f.away(s.hub)) {
+			searched = now
+			found = make(chan *source, 1)
+			go func(near bool) { found <- f.search(ctx, f.candidates(near)) }(!stale)
+		}
+		select {
+		case n := <-found:
+			found = nil
+			if n != nil && n.first.Current {
+				return n
+			}
+			n.close()
+		default:
+		}
+		err := s.feed.Acknowledge(feed.Ack{Version: u.Version, Number: f.number()})
+		if err == nil {
+			u, err = s.feed.Next()
+		}
+		if err != nil {
+			f.Log.Warn("feed lost", zap.String("Hub", string(s.hub)), zap.Error(err))
+			if found != nil {
+				return <-found
+			}
+			return nil
+		}
+	}
 }
 
-// patience returns how long a stale feed is kept.
-func (f *follower) patience(id fleet.VMID, now time.Time) time.Duration {
+// away reports whether a hub is in another zone although the own one has a hub.
+func (f *follower) away(id fleet.VMID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	near := false
 	for _, h := range f.hubs {
-		if h != id && now.Sub(f.stale[h]) > searchPause && now.Sub(f.failed[h]) > searchPause {
-			return staleLimit
+		if h.VM == id && h.Zone == f.Hello.Zone {
+			return false
 		}
+		near = near || h.Zone == f.Hello.Zone
 	}
-	return searchPause
+	return near
+}
+
+func (f *follower) number() catalog.Number {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mirror.number()
 }
 
 func (f *follower) take(u *feed.Update, now time.Time) {
-	if len(u.Controls) > 0 {
-		f.mu.Lock()
-		f.hubs = u.Controls
-		f.mu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(u.Hubs) > 0 {
+		f.hubs = u.Hubs
 	}
 	if f.mirror.take(u, now) {
-		f.apply(&f.mirror, now)
+		f.Apply(&f.mirror, now)
 	}
 }
--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -130,7 +130,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	now := time.Now()
 	silence := time.Duration(silentAnnouncements * float64(d.Settings.AnnounceInterval))
-	d.board = feed.NewBoard(registry.New(silence, now), now)
+	d.board = feed.NewBoard(feed.Hub{VM: d.Settings.ID(), Zone: d.Settings.Zone}, registry.New(silence, now), now)
 	d.restore(now)
 	listen := func(address string) (net.Listener, error) {
 		l, err := net.Listen("tcp", address)
@@ -245,7 +245,7 @@
 	for _, m := range members {
 		ids = append(ids, m.VM)
 	}
-	d.board.SetControls(ids, r.Leader() != "")
+	d.board.SetHubs(ids, r.Leader() != "")
 	if role := r.Role(); role != d.role {
 		d.role = role
 		d.Log.Info("replica changed its role", zap.String("Role", role), zap.String("Leader", string(r.Leader())),
--- a/internal/hub/peers.go
+++ b/internal/hub/peers.go
@@ -55,8 +55,8 @@
 // others returns the hubs besides this one that the log or the seeds name.
 func (d *Daemon) others() map[fleet.VMID]bool {
 	ids := make(map[fleet.VMID]bool)
-	for _, id := range d.board.Controls() {
-		ids[id] = true
+	for _, h := range d.board.Hubs() {
+		ids[h.VM] = true
 	}
 	for _, seed := range d.currentSeeds() {
 		ids[IDOf(seed)] = true
@@ -67,17 +67,12 @@
 
 func (d *Daemon) followHub(ctx context.Context, id fleet.VMID) {
 	hello := &feed.Hello{VM: d.Settings.ID(), Zone: d.Settings.Zone, Role: feed.Control}
-	connected := false
 	for ctx.Err() == nil {
-		err := feed.Subscribe(ctx, AddressOf(id, d.Settings.Feed), hello, func(u *feed.Update) (feed.Ack, error) {
-			if !connected {
-				connected = true
-				d.Log.Info("feed of a hub connected", zap.String("Hub", string(id)))
-			}
-			return feed.Ack{Version: u.Version}, d.board.Take(u, time.Now())
-		})
-		if connected {
-			connected = false
+		sub, err := feed.Open(ctx, AddressOf(id, d.Settings.Feed), hello)
+		if err == nil {
+			d.Log.Info("feed of a hub connected", zap.String("Hub", string(id)))
+			err = d.takeFeed(sub)
+			sub.Close()
 			d.Log.Warn("feed of a hub lost", zap.String("Hub", string(id)), zap.Error(err))
 		}
 		select {
@@ -86,3 +81,19 @@
 		}
 	}
 }
+
+// takeFeed merges the updates of a hub until its feed fails.
+func (d *Daemon) takeFeed(sub *feed.Subscription) error {
+	for {
+		u, err := sub.Next()
+		if err != nil {
+			return err
+		}
+		if err := d.board.Take(u, time.Now()); err != nil {
+			return err
+		}
+		if err := sub.Acknowledge(feed.Ack{Version: u.Version}); err != nil {
+			return err
+		}
+	}
+}
