Let hubs exchange the catalog that they publish

Change: hubs send each other the published catalog, which is committed; entry VMs try the seeds in random order.

--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -80,11 +80,16 @@
 	b.changed = make(chan struct{})
 }
 
-// SetCatalog publishes a catalog, unless one with a higher number is published.
+// SetCatalog publishes a committed catalog, unless one with a higher number is
+// published.
 func (b *Board) SetCatalog(c *catalog.Catalog) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.catalog != nil && c.Number <= b.catalog.Number {
+	b.setCatalog(c)
+}
+
+func (b *Board) setCatalog(c *catalog.Catalog) {
+	if c.Number <= b.number() {
 		return
 	}
 	b.catalog = c
@@ -151,6 +156,10 @@
 func (b *Board) Take(u *Update, now time.Time) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	// A hub that has lost its disk gets the catalog here before the log.
+	if u.Catalog != nil {
+		b.setCatalog(u.Catalog)
+	}
 	before := b.targets.Changed()
 	news := false
 	for _, rec := range u.Records {
@@ -234,15 +243,14 @@
 	defer b.mu.Unlock()
 	u := &Update{Version: b.targets.Version(), Complete: b.complete, Current: b.current}
 	since := c.version
-	switch c.role {
-	case Entry:
-		u.Records = b.targets.Changes(since, now)
-		if b.catalog != nil && b.catalog.Number > c.number {
-			u.Catalog = b.catalog
-			c.number = b.catalog.Number
-		}
-	case Control:
+	if c.role == Control {
 		u.Records = b.targets.News(since, now)
+	} else {
+		u.Records = b.targets.Changes(since, now)
+	}
+	if b.number() > c.number {
+		u.Catalog = b.catalog
+		c.number = b.catalog.Number
 	}
 	u.Full = !c.started
 	if !slices.Equal(b.hubs, c.hubs) {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -66,8 +67,9 @@
 }
 
 // candidates returns the hubs in the order in which they are tried: those of
-// the own zone, other known ones, and the seeds. near leaves out all but the
-// own zone's.
+// the own zone, other known ones, and the seeds in any order, so that VMs that
+// start at the same time spread over them. near leaves out all but the own
+// zone's.
 func (f *follower) candidates(near bool) []fleet.VMID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -83,9 +85,9 @@
 		return all
 	}
 	all = append(all, far...)
-	for _, s := range f.seeds {
-		if !slices.Contains(all, s) {
-			all = append(all, s)
+	for _, i := range rand.Perm(len(f.seeds)) {
+		if !slices.Contains(all, f.seeds[i]) {
+			all = append(all, f.seeds[i])
 		}
 	}
 	return all
