--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -31,6 +31,7 @@
 	// acknowledged; acked is closed and replaced at each acknowledgement.
 	confirmed map[fleet.VMID]registry.Version
 	acked     chan struct{}
+	doubts    doubts
 }
 
 // cursor is what a subscriber has been told.
@@ -42,6 +43,8 @@
 	complete bool
 	current  bool
 	hubs     []Hub
+	doubts   []Doubt
+	shared   []fleet.Incarnation
 }
 
 // NewBoard returns the board of hub self without a catalog.
@@ -54,6 +57,7 @@
 		touched:    make(chan struct{}),
 		confirmed:  make(map[fleet.VMID]registry.Version),
 		acked:      make(chan struct{}),
+		doubts:     newDoubts(),
 	}
 }
 
@@ -71,13 +75,15 @@
 // notify wakes the subscribers after a change of the targets from a version
 // on, or of anything else.
 func (b *Board) notify(targetsOnly bool, before registry.Version) {
-	close(b.touched)
-	b.touched = make(chan struct{})
-	if targetsOnly && b.targets.Changed() <= before {
-		return
+	b.wake(&b.touched)
+	if !targetsOnly || b.targets.Changed() > before {
+		b.wake(&b.changed)
 	}
-	close(b.changed)
-	b.changed = make(chan struct{})
+}
+
+func (b *Board) wake(c *chan struct{}) {
+	close(*c)
+	*c = make(chan struct{})
 }
 
 // SetCatalog publishes a committed catalog, unless one with a higher number is
@@ -150,10 +156,12 @@
 	return b.targets.Version()
 }
 
-// Take merges what another control VM has sent.
-func (b *Board) Take(u *Update, now time.Time) error {
+// Take merges what another hub has sent.
+func (b *Board) Take(from fleet.VMID, u *Update, now time.Time) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.doubts.hubs[from] = u.Doubts
+	b.sumDoubts()
 	// A hub that has lost its disk gets the catalog here before the log.
 	if u.Catalog != nil && u.Catalog.To > b.catalog.Number() {
 		c, err := b.catalog.Newest().Apply(u.Catalog)
@@ -244,6 +252,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := &Update{Version: b.targets.Version(), Complete: b.complete, Current: b.current}
+	b.addDoubts(u, c)
 	since := c.version
 	if c.role == Control {
 		u.Records = b.targets.News(since, now)
@@ -262,9 +271,11 @@
 		u.Hubs = b.hubs
 	}
 	same := c.started && u.Catalog == nil && len(u.Records) == 0 && u.Hubs == nil &&
-		u.Complete == c.complete && u.Current == c.current
+		u.Complete == c.complete && u.Current == c.current &&
+		slices.Equal(u.Doubts, c.doubts) && slices.Equal(u.Shared, c.shared)
 	c.started, c.version, c.hubs = true, u.Version, b.hubs
 	c.complete, c.current = u.Complete, u.Current
+	c.doubts, c.shared = u.Doubts, u.Shared
 	if same {
 		return nil
 	}
@@ -274,5 +285,16 @@
 func (b *Board) beat(c *cursor) *Update {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return &Update{Version: c.version, Complete: b.complete, Current: b.current}
+	u := &Update{Version: c.version, Complete: b.complete, Current: b.current}
+	b.addDoubts(u, c)
+	return u
+}
+
+// addDoubts adds the doubts that a subscriber needs.
+func (b *Board) addDoubts(u *Update, c *cursor) {
+	if c.role == Control {
+		u.Doubts = b.doubts.own
+		return
+	}
+	u.Shared = b.doubts.shared
 }
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -16,9 +16,9 @@
 const (
 	// BeatInterval is the time between two updates of a publisher that has
 	// nothing to tell.
-	BeatInterval = 300 * time.Millisecond
+	BeatInterval = 200 * time.Millisecond
 	// SilenceLimit is the time without an update after which a subscriber
-	// takes its publisher for unreachable: three beats and some delay.
+	// takes its publisher for unreachable: five beats and some delay.
 	SilenceLimit = 1200 * time.Millisecond
 	// maxFrame bounds the size of a message in bytes: a catalog of 4,300 routes
 	// and 23,000 records have about 3 MB.
@@ -62,6 +62,11 @@
 		Current bool `cbor:"6,keyasint,omitempty"`
 		// Hubs lists the control VMs; it is empty where it has not changed.
 		Hubs []Hub `cbor:"7,keyasint,omitempty"`
+		// Doubts are those of the publisher's entry VMs, for hubs.
+		Doubts []Doubt `cbor:"8,keyasint,omitempty"`
+		// Shared lists the targets that do not answer several entry VMs, for
+		// entry VMs.
+		Shared []fleet.Incarnation `cbor:"9,keyasint,omitempty"`
 	}
 
 	// Hub is a control VM; Zone is empty where it is not known.
@@ -74,6 +79,8 @@
 	Ack struct {
 		Version registry.Version `cbor:"1,keyasint"`
 		Number  catalog.Number   `cbor:"2,keyasint"`
+		// Doubts lists the targets that do not answer the entry VM.
+		Doubts []fleet.Incarnation `cbor:"3,keyasint,omitempty"`
 	}
 
 	// MessageError reports a message that can't be sent or decoded.
--- a/internal/feed/publisher.go
+++ b/internal/feed/publisher.go
@@ -87,6 +87,8 @@
 	p.send(ctx, conn, c)
 	if hello.Role == Control {
 		p.Board.forget(hello.VM)
+	} else {
+		p.Board.doubt(hello.VM, nil)
 	}
 }
 
@@ -100,6 +102,8 @@
 		}
 		if hello.Role == Control {
 			p.Board.confirm(hello.VM, ack.Version)
+		} else {
+			p.Board.doubt(hello.VM, ack.Doubts)
 		}
 	}
 }
--- a/internal/feed/saved.go
+++ b/internal/feed/saved.go
@@ -64,5 +64,5 @@
 	for i := range u.Records {
 		u.Records[i].Age, u.Records[i].Warmup, u.Records[i].Silent = 0, 0, false
 	}
-	return b.Take(&Update{Catalog: u.Catalog, Records: u.Records}, now)
+	return b.Take("", &Update{Catalog: u.Catalog, Records: u.Records}, now)
 }
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 )
 
@@ -10,10 +11,11 @@
 // refuse one.
 const dialTimeout = 400 * time.Millisecond
 
-// Subscription is the feed of one publisher. One goroutine uses it.
+// Subscription is the feed of one publisher. One goroutine calls Next.
 type Subscription struct {
 	conn net.Conn
 	stop func() bool
+	mu   sync.Mutex // guards writes to conn
 }
 
 // Open connects to a publisher and says who asks. The subscription ends with
@@ -58,6 +60,8 @@
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err := s.conn.SetWriteDeadline(time.Now().Add(SilenceLimit)); err != nil {
 		return err
 	}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -60,6 +60,9 @@
 		// Reset appends a reset of the flow of packet b, and returns its
 		// destination.
 		Reset(to, b []byte, p *steering.Packet) ([]byte, netip.AddrPort)
+		// Matches reports whether the response to a health check comes from a
+		// target.
+		Matches(r *http.Response, t *steering.Target) bool
 	}
 
 	// Daemon is one entry VM. Exported fields are set before Run.
@@ -74,6 +77,7 @@
 		core     *steering.Core
 		conn     *net.UDPConn
 		follower follower
+		checker  checker
 		ready    atomic.Bool
 		leaving  atomic.Bool
 		packets  atomic.Uint64
@@ -129,15 +133,22 @@
 	d.conn = conn
 	d.core = steering.New(d.Settings.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	d.follower.Hello = feed.Hello{VM: d.Settings.ID, Zone: d.Settings.Zone, Role: feed.Entry}
-	d.follower.Port, d.follower.Log, d.follower.Apply = d.Settings.Feed, d.Log, d.setMirror
+	d.follower.Port, d.follower.Log = d.Settings.Feed, d.Log
+	d.follower.Core, d.follower.Apply = d.core, d.setMirror
 	d.follower.setSeeds(d.Settings.Seeds)
+	d.checker.Core, d.checker.Matches, d.checker.Log = d.core, d.Codec.Matches, d.Log
+	d.checker.Changed = d.follower.doubtsChanged
+	d.checker.slots = make(chan struct{}, maxChecks)
+	d.core.Doubted = d.checker.begin
 	server := &http.Server{Handler: d.Handler(d), ReadHeaderTimeout: readHeaderTimeout}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, work := errgroup.WithContext(work)
+	d.checker.ctx = work
 	d.Log.Info("entry VM started", zap.String("Zone", string(d.Settings.Zone)))
 	group.Go(func() error { return d.follower.run(work) })
 	group.Go(func() error { return d.receive(work) })
+	group.Go(func() error { return d.checker.run(work) })
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return &OpenError{What: "the HTTP interface", Err: err}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -14,6 +14,8 @@
 	"bamboowalk.org/bamboowalk/internal/hub"
 	"bamboowalk.org/bamboowalk/pkg/catalog"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/registry"
+	"bamboowalk.org/bamboowalk/pkg/steering"
 )
 
 const (
@@ -40,12 +42,17 @@
 		Log  *zap.Logger
 		// Apply takes a changed mirror.
 		Apply func(m *mirror, now time.Time)
+		// Core reports the targets that do not answer, and takes those of others.
+		Core *steering.Core
 
 		// mu guards what setSeeds and searches share with the goroutine of run.
 		mu     sync.Mutex
 		seeds  []fleet.VMID
 		hubs   []feed.Hub
 		mirror mirror
+		// source is the present hub, and version the last that was acknowledged.
+		source  *source
+		version registry.Version
 	}
 
 	// source is a hub whose feed has begun.
@@ -224,7 +231,8 @@
 		default:
 		}
 		if err == nil {
-			err = s.feed.Acknowledge(feed.Ack{Version: u.Version, Number: f.number()})
+			f.Core.SetShared(u.Shared)
+			err = f.acknowledge(s, u.Version)
 		}
 		if err == nil {
 			u, err = s.feed.Next()
@@ -239,6 +247,27 @@
 	}
 }
 
+// acknowledge tells a hub what this VM has taken over and which targets do not
+// answer it.
+func (f *follower) acknowledge(s *source, v registry.Version) error {
+	f.mu.Lock()
+	ack := feed.Ack{Version: v, Number: f.mirror.number(), Doubts: f.Core.Doubts()}
+	f.source, f.version = s, v
+	f.mu.Unlock()
+	return s.feed.Acknowledge(ack)
+}
+
+// doubtsChanged tells the hub at once that another target does not answer.
+func (f *follower) doubtsChanged() {
+	f.mu.Lock()
+	s, v := f.source, f.version
+	f.mu.Unlock()
+	if s != nil {
+		// Where the connection has failed, the next hub is told.
+		_ = f.acknowledge(s, v)
+	}
+}
+
 // away reports whether a hub is in another zone although the own one has a hub.
 func (f *follower) away(id fleet.VMID) bool {
 	f.mu.Lock()
--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -39,8 +39,9 @@
 	// replaceAfter is the silence after which another hub takes a hub's place
 	// in the log. A restart takes less.
 	replaceAfter = 3 * time.Second
-	// boardInterval is the time between two searches for silent targets.
-	boardInterval = 200 * time.Millisecond
+	// boardInterval is the time between two searches for silent targets, and
+	// between two sums of the loads.
+	boardInterval = 100 * time.Millisecond
 	// confirmTimeout bounds the wait until a majority of the hubs knows that a
 	// target drains; a target waits a second for the acknowledgement.
 	confirmTimeout = 700 * time.Millisecond
--- a/internal/hub/peers.go
+++ b/internal/hub/peers.go
@@ -71,8 +71,9 @@
 		sub, err := feed.Open(ctx, AddressOf(id, d.Settings.Feed), hello)
 		if err == nil {
 			d.Log.Info("feed of a hub connected", zap.String("Hub", string(id)))
-			err = d.takeFeed(sub)
+			err = d.takeFeed(id, sub)
 			sub.Close()
+			d.board.Lost(id)
 			d.Log.Warn("feed of a hub lost", zap.String("Hub", string(id)), zap.Error(err))
 		}
 		select {
@@ -83,13 +84,13 @@
 }
 
 // takeFeed merges the updates of a hub until its feed fails.
-func (d *Daemon) takeFeed(sub *feed.Subscription) error {
+func (d *Daemon) takeFeed(from fleet.VMID, sub *feed.Subscription) error {
 	for {
 		u, err := sub.Next()
 		if err != nil {
 			return err
 		}
-		if err := d.board.Take(u, time.Now()); err != nil {
+		if err := d.board.Take(from, u, time.Now()); err != nil {
 			return err
 		}
 		if err := sub.Acknowledge(feed.Ack{Version: u.Version}); err != nil {
--- a/pkg/steering/core.go
+++ b/pkg/steering/core.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"bamboowalk.org/bamboowalk/pkg/fleet"
@@ -46,12 +45,6 @@
 	// maxFlows bounds the table of recent flows. At 120 bytes a flow it takes
 	// 8 MB.
 	maxFlows = 1 << 16
-	// otherZoneCost is added to the load of targets in other zones, in requests
-	// a slot.
-	otherZoneCost = 0.7
-	// coldFactor is the load of a target that has just started, in relation to
-	// that of a warm one.
-	coldFactor = 2
 )
 
 type (
@@ -95,26 +88,27 @@
 		Doubted   int
 	}
 
-	// Core decides about packets. One goroutine calls Decide; SetView and
-	// Report may be called by others.
+	// Core decides about packets. It is safe for concurrent use.
+	//
+	// Invariant: the running of a load is the number of flows in the table that
+	// name its target and have not ended.
 	Core struct {
 		// Zone is that of this VM, whose targets are preferred.
 		Zone fleet.ZoneID
-		// Random spreads flows over equal targets.
+		// Random spreads flows over targets.
 		Random *rand.Rand
-		// Doubt, if set, is called with each target that did not answer an
-		// opening packet. It must not block.
-		Doubt func(t *Target)
+		// Doubted, if set, is called with each target that begins not to answer.
+		// It must not block and must not call the core.
+		Doubted func(t *Target)
 
-		view  atomic.Pointer[View]
+		mu    sync.Mutex
+		view  *View
 		flows map[FlowKey]*flow
 		loads map[Cookie]*load
-		swept time.Time
-		stats map[Cause]uint64
-
-		mu      sync.Mutex
-		reports []report
-		pending atomic.Bool
+		// shared holds the targets that do not answer several VMs.
+		shared map[Cookie]bool
+		swept  time.Time
+		stats  map[Cause]uint64
 	}
 
 	// flow is a flow that this VM has seen the start of.
@@ -127,20 +121,6 @@
 		// acknowledged is the caller's last acknowledgement number.
 		acknowledged uint32
 	}
-
-	// load is what this VM knows of a target's load and health.
-	load struct {
-		running int
-		// doubted is set while the target is not chosen if another one can be.
-		doubted bool
-		// answered is the start of the newest flow that the target has opened.
-		answered time.Time
-	}
-
-	report struct {
-		cookie Cookie
-		alive  bool
-	}
 )
 
 // New returns a core without a view.
@@ -155,47 +135,41 @@
 }
 
 // SetView makes a view current.
-func (c *Core) SetView(v *View) { c.view.Store(v) }
-
-// Report takes the result of a target's health check.
-func (c *Core) Report(t Cookie, alive bool) {
+func (c *Core) SetView(v *View) {
 	c.mu.Lock()
-	c.reports = append(c.reports, report{t, alive})
-	c.mu.Unlock()
-	c.pending.Store(true)
+	defer c.mu.Unlock()
+	c.view = v
 }
 
 // Decide decides about one packet.
 func (c *Core) Decide(p *Packet, now time.Time) Decision {
-	if c.pending.Load() {
-		c.takeReports()
-	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if now.Sub(c.swept) >= sweepInterval {
 		c.sweep(now)
 	}
-	v := c.view.Load()
 	var d Decision
 	switch {
-	case v == nil || v.Catalog == nil:
+	case c.view == nil || c.view.Catalog == nil:
 		d = Decision{Op: Drop, Cause: CauseNoCatalog}
 	case p.Opening:
-		d = c.open(v, p, now)
+		d = c.open(p, now)
 	default:
-		d = c.follow(v, p, now)
+		d = c.follow(p)
 	}
 	c.stats[d.Cause]++
 	return d
 }
 
 // open decides about an opening packet.
-func (c *Core) open(v *View, p *Packet, now time.Time) Decision {
-	r := v.routes[p.Flow.Route]
+func (c *Core) open(p *Packet, now time.Time) Decision {
+	r := c.view.routes[p.Flow.Route]
 	if r == nil {
 		return Decision{Op: Reset, Cause: CauseNoRoute}
 	}
 	f := c.flows[p.Flow]
 	if f != nil && f.opened && !f.ended {
-		if t := v.targets[f.target]; t != nil {
+		if t := c.view.targets[f.target]; t != nil {
 			return Decision{Op: Forward, Cause: CauseFlow, Target: t}
 		}
 	}
@@ -203,9 +177,8 @@
 	cause := CauseOpened
 	if f != nil && !f.ended {
 		avoid, cause = f.target, CauseCopy
-		c.doubt(v, f)
-		c.loadOf(f.target).running--
-		f.ended = true
+		c.unanswered(f)
+		c.end(f)
 	}
 	t := c.choose(r, avoid, now)
 	if t == nil {
@@ -219,48 +192,49 @@
 }
 
 // follow decides about a packet of a flow that a target may have opened.
-func (c *Core) follow(v *View, p *Packet, now time.Time) Decision {
+func (c *Core) follow(p *Packet) Decision {
 	f := c.flows[p.Flow]
 	if f == nil {
-		return c.byCookie(v, p.Cookie)
+		return c.byCookie(p.Cookie)
 	}
 	if !f.opened && p.Cookie != 0 {
-		c.opened(f, p, now)
+		c.opened(f, p.Cookie)
 	}
 	f.acknowledged = p.Acknowledged
-	if p.End && !f.ended {
-		f.ended = true
-		c.loadOf(f.target).running--
+	if p.End {
+		c.end(f)
 	}
-	t := v.targets[f.target]
+	t := c.view.targets[f.target]
 	if t == nil || t.State == fleet.TargetGone {
 		return Decision{Op: Reset, Cause: CauseTargetGone}
 	}
 	return Decision{Op: Forward, Cause: CauseFlow, Target: t}
 }
 
-// opened binds a flow to the target that the caller has acknowledged.
-func (c *Core) opened(f *flow, p *Packet, now time.Time) {
+// opened binds a flow to the target whose answer the caller has acknowledged.
+func (c *Core) opened(f *flow, k Cookie) {
 	f.opened = true
-	if p.Cookie != f.target {
-		if !f.ended {
-			c.loadOf(f.target).running--
-			c.loadOf(p.Cookie).running++
-		}
-		f.target = p.Cookie
+	if k != f.target && !f.ended {
+		c.loadOf(f.target).running--
+		c.loadOf(k).running++
 	}
-	l := c.loadOf(f.target)
-	if f.started.After(l.answered) {
-		l.answered = f.started
+	f.target = k
+	c.loadOf(k).answer(f.started)
+}
+
+func (c *Core) end(f *flow) {
+	if f.ended {
+		return
 	}
-	l.doubted = false
+	f.ended = true
+	c.loadOf(f.target).running--
 }
 
-func (c *Core) byCookie(v *View, k Cookie) Decision {
+func (c *Core) byCookie(k Cookie) Decision {
 	if k == 0 {
 		return Decision{Op: Drop, Cause: CauseNoCookie}
 	}
-	t := v.targets[k]
+	t := c.view.targets[k]
 	switch {
 	case t == nil:
 		return Decision{Op: Drop, Cause: CauseUnknownCookie}
@@ -270,97 +244,6 @@
 	return Decision{Op: Forward, Cause: CauseCookie, Target: t}
 }
 
-// choose returns the target of a new flow: the least loaded one among those
-// that take new flows, or, where there is none, among those in doubt.
-func (c *Core) choose(r *route, avoid Cookie, now time.Time) *Target {
-	s := r.pick(c.Random.Uint64())
-	var best *Target
-	bestCost := 0.0
-	ties := 0
-	for _, t := range s.targets {
-		if !t.TakesNewFlows() {
-			continue
-		}
-		cost := c.cost(t, avoid, now)
-		switch {
-		case best == nil || cost < bestCost:
-			best, bestCost, ties = t, cost, 1
-		case cost == bestCost:
-			ties++
-			if c.Random.IntN(ties) == 0 {
-				best = t
-			}
-		}
-	}
-	return best
-}
-
-// Costs that order targets that should not be chosen behind all others.
-const (
-	silentCost = 1e4
-	doubtCost  = 1e5
-	avoidCost  = 1e6
-)
-
-// cost returns the load of a target in requests a slot, plus what speaks
-// against choosing it.
-func (c *Core) cost(t *Target, avoid Cookie, now time.Time) float64 {
-	l := c.loads[t.Cookie]
-	cost := 0.0
-	if l != nil {
-		cost = float64(l.running) / float64(t.Slots)
-		if l.doubted {
-			cost += doubtCost
-		}
-	}
-	if now.Before(t.WarmAt) {
-		cost = cost*coldFactor + 1/float64(t.Slots)
-	}
-	if t.Zone != c.Zone {
-		cost += otherZoneCost
-	}
-	if t.Silent {
-		cost += silentCost
-	}
-	if t.Cookie == avoid {
-		cost += avoidCost
-	}
-	return cost
-}
-
-// doubt takes a repeated opening packet as a sign that the flow's target does
-// not answer, unless it has answered a later one.
-func (c *Core) doubt(v *View, f *flow) {
-	l := c.loadOf(f.target)
-	if l.answered.After(f.started) || l.doubted {
-		return
-	}
-	l.doubted = true
-	if t := v.targets[f.target]; t != nil && c.Doubt != nil {
-		c.Doubt(t)
-	}
-}
-
-func (c *Core) loadOf(k Cookie) *load {
-	l := c.loads[k]
-	if l == nil {
-		l = new(load)
-		c.loads[k] = l
-	}
-	return l
-}
-
-func (c *Core) takeReports() {
-	c.pending.Store(false)
-	c.mu.Lock()
-	reports := c.reports
-	c.reports = nil
-	c.mu.Unlock()
-	for _, r := range reports {
-		c.loadOf(r.cookie).doubted = !r.alive
-	}
-}
-
 // sweep forgets flows whose time is over, and targets that no flow or view
 // names.
 func (c *Core) sweep(now time.Time) {
@@ -370,24 +253,22 @@
 		if !f.opened && now.Sub(f.started) > unopenedLifetime {
 			over = true
 		}
-		if !over {
-			continue
+		if over {
+			c.end(f)
+			delete(c.flows, k)
 		}
-		if !f.ended {
-			c.loadOf(f.target).running--
-		}
-		delete(c.flows, k)
 	}
-	v := c.view.Load()
 	for k, l := range c.loads {
-		if l.running == 0 && (v == nil || v.targets[k] == nil) {
+		if l.running == 0 && (c.view == nil || c.view.targets[k] == nil) {
 			delete(c.loads, k)
 		}
 	}
 }
 
-// Stats returns the counters; it is called by the goroutine of Decide.
+// Stats returns the counters.
 func (c *Core) Stats() Stats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	s := Stats{Decisions: make(map[Cause]uint64, len(c.stats)), Flows: len(c.flows)}
 	for k, n := range c.stats {
 		s.Decisions[k] = n
--- a/pkg/steering/view.go
+++ b/pkg/steering/view.go
@@ -105,6 +105,18 @@
 // Target returns the target with a cookie, or nil.
 func (v *View) Target(c Cookie) *Target { return v.targets[c] }
 
+// healthPath returns the health path of a service, "/" where it is unknown.
+func (v *View) healthPath(id fleet.ServiceID) string {
+	if v.Catalog != nil {
+		for i := range v.Catalog.Services {
+			if v.Catalog.Services[i].ID == id {
+				return v.Catalog.Services[i].HealthPath
+			}
+		}
+	}
+	return "/"
+}
+
 // Ready reports whether the view has a catalog and a target.
 func (v *View) Ready() bool { return v.Catalog != nil && len(v.targets) > 0 }
 
