--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -194,7 +194,11 @@
 }
 
 func (d *Daemon) runOnce(ctx context.Context) error {
-	l := &log{machine: &catalog.Machine{Parse: d.Parse, Changed: d.board.SetCatalog}}
+	l := &log{machine: &catalog.Machine{
+		Parse:   d.Parse,
+		Changed: d.board.SetCatalog,
+		Failed:  func(err error) { d.Log.Error("entry of the log can't be read", zap.Error(err)) },
+	}}
 	r, err := d.openReplica(l.machine, time.Now())
 	if err != nil {
 		return err
--- /dev/null
+++ b/pkg/catalog/catalog_test.go
@@ -0,0 +1,218 @@
+package catalog
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+// address returns the address of the n-th route.
+func address(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(n >> 8), byte(n)}), 443)
+}
+
+func route(n int, service fleet.ServiceID) Route {
+	return Route{
+		Name: fmt.Sprintf("r%d", n), Address: address(n), Kind: "Lookup", Idempotent: true,
+		Objective: 200 * time.Millisecond, Deadline: 2 * time.Second,
+		Shares: []Share{{Service: service, Weight: 1}},
+	}
+}
+
+// catalogOf returns a catalog with some routes to service "a".
+func catalogOf(n Number, routes ...int) *Catalog {
+	c := &Catalog{Number: n, Services: []Service{{ID: "a", HealthPath: "/health", ConnectionLimit: 10}, {ID: "b"}}, IdleTimeout: time.Second}
+	for _, r := range routes {
+		c.Routes = append(c.Routes, route(r, "a"))
+	}
+	return c
+}
+
+// sorted returns the catalog with its routes ordered by address.
+func sorted(c *Catalog) *Catalog {
+	s := *c
+	s.Routes = slices.Clone(c.Routes)
+	slices.SortFunc(s.Routes, func(a, b Route) int { return a.Address.Compare(b.Address) })
+	return &s
+}
+
+// Guards against documents that name what does not exist or mean two things at
+// once.
+func TestValidate(t *testing.T) {
+	var field *fleet.FieldError
+	var unknown *fleet.UnknownError
+	for _, test := range []struct {
+		name   string
+		change func(c *Catalog)
+		want   any
+	}{
+		{"valid", func(*Catalog) {}, nil},
+		{"two routes at one address", func(c *Catalog) { c.Routes[1].Address = c.Routes[0].Address }, &field},
+		{"unknown service", func(c *Catalog) { c.Routes[0].Shares[0].Service = "none" }, &unknown},
+		{"no deadline", func(c *Catalog) { c.Routes[0].Deadline = 0 }, &field},
+		{"no share", func(c *Catalog) { c.Routes[0].Shares = nil }, &field},
+		{"no weight", func(c *Catalog) { c.Routes[0].Shares[0].Weight = 0 }, &field},
+		{"no port", func(c *Catalog) { c.Routes[0].Address = netip.AddrPortFrom(address(0).Addr(), 0) }, &field},
+		{"service twice", func(c *Catalog) { c.Services[1].ID = "a" }, &field},
+		{"service without a name", func(c *Catalog) { c.Services[1].ID = "" }, &field},
+	} {
+		c := catalogOf(1, 0, 1)
+		test.change(c)
+		err := c.Validate()
+		if test.want == nil && err != nil || test.want != nil && !errors.As(err, test.want) {
+			t.Errorf("%s: got %v, want %T", test.name, err, test.want)
+		}
+	}
+}
+
+// Guards against entry VMs that end up with other routes than the operator sent,
+// whatever numbers they have missed.
+func TestDeltas(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	var h History
+	held := []*Catalog{nil}
+	for n := Number(1); n < 400; n += 1 + Number(r.IntN(3)) {
+		c := catalogOf(n)
+		for i := range 20 {
+			if r.IntN(3) == 0 {
+				continue
+			}
+			next := route(i, []fleet.ServiceID{"a", "b"}[r.IntN(2)])
+			next.Deadline += time.Duration(r.IntN(2)) * time.Second
+			c.Routes = append(c.Routes, next)
+		}
+		if r.IntN(20) == 0 {
+			c.Services = append(c.Services, Service{ID: "c"})
+		}
+		if !h.Add(c) {
+			t.Fatalf("Add(%d): got false, want true", n)
+		}
+		for _, old := range held {
+			from := Number(0)
+			if old != nil {
+				from = old.Number
+			}
+			got, err := old.Apply(h.Delta(from))
+			if err != nil {
+				t.Fatalf("from %d to %d: %v", from, n, err)
+			}
+			if !reflect.DeepEqual(sorted(got), sorted(c)) {
+				t.Fatalf("from %d to %d: got %+v, want %+v", from, n, sorted(got), sorted(c))
+			}
+		}
+		held = append(held, c)
+	}
+}
+
+// Guards against a full catalog on the links of entry VMs for each small change.
+func TestDeltaIsSmall(t *testing.T) {
+	var h History
+	var routes []int
+	for i := range 500 {
+		routes = append(routes, i)
+	}
+	h.Add(catalogOf(1, routes...))
+	c := catalogOf(2, routes[1:]...)
+	c.Routes[7].Deadline *= 2
+	h.Add(c)
+	d := h.Delta(1)
+	if d.Full || len(d.Routes) != 1 || len(d.Removed) != 1 || d.Services != nil {
+		t.Errorf("got full %v with %d routes, %d removed and services %v, want a delta of 1 and 1 without services",
+			d.Full, len(d.Routes), len(d.Removed), d.Services)
+	}
+	if d := h.Delta(2); d != nil {
+		t.Errorf("delta to the same number: got %+v, want none", d)
+	}
+	if h.Add(catalogOf(2, 1)) || h.Add(catalogOf(1, 1)) {
+		t.Error("Add of a number that is not higher: got true, want false")
+	}
+}
+
+// Guards against a delta that is applied to another catalog than it was made
+// for.
+func TestApplyToOther(t *testing.T) {
+	var h History
+	h.Add(catalogOf(1, 1))
+	h.Add(catalogOf(3, 1, 2))
+	var want *DeltaError
+	for _, c := range []*Catalog{nil, catalogOf(2, 1)} {
+		if got, err := c.Apply(h.Delta(1)); !errors.As(err, &want) {
+			t.Errorf("Apply to %v: got %v, %v, want a DeltaError", c, got, err)
+		}
+	}
+	if d := h.Delta(2); !d.Full {
+		t.Errorf("delta from a number that was never held: got %+v, want a full one", d)
+	}
+}
+
+// parse reads the catalogs of the tests: each byte is a route.
+func parse(text []byte) (*Catalog, error) {
+	c := catalogOf(Number(text[0]))
+	for _, b := range text[1:] {
+		c.Routes = append(c.Routes, route(int(b), "a"))
+	}
+	return c, c.Validate()
+}
+
+func apply(t *testing.T, m *Machine, text ...byte) {
+	t.Helper()
+	d := Document{Number: Number(text[0]), Text: text}
+	command, err := d.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Apply(1, command, time.Time{})
+}
+
+// Guards against an older document, or another one of the same number, that
+// replaces the one in force.
+func TestMachineKeepsHighest(t *testing.T) {
+	var published []Number
+	m := &Machine{Parse: parse, Changed: func(c *Catalog) { published = append(published, c.Number) }}
+	apply(t, m, 5, 1)
+	apply(t, m, 4, 2)
+	apply(t, m, 5, 3)
+	apply(t, m, 9, 4)
+	m.Apply(2, []byte("garbage"), time.Time{})
+	if got, want := string(m.Document().Text), "\x09\x04"; got != want {
+		t.Errorf("document: got %q, want %q", got, want)
+	}
+	if want := []Number{5, 9}; !slices.Equal(published, want) {
+		t.Errorf("published: got %v, want %v", published, want)
+	}
+}
+
+// Guards against state that a restart loses or changes.
+func TestMachineRestore(t *testing.T) {
+	m := &Machine{Parse: parse}
+	for _, text := range [][]byte{nil, {5, 1, 2}} {
+		if text != nil {
+			apply(t, m, text...)
+		}
+		b, err := m.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		restored := &Machine{Parse: parse}
+		if err := restored.Restore(b); err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(restored.Document(), m.Document()) || !reflect.DeepEqual(restored.Catalog(), m.Catalog()) {
+			t.Errorf("got %+v, want %+v", restored.Document(), m.Document())
+		}
+	}
+	var want *DecodeError
+	if err := m.Restore([]byte("garbage")); !errors.As(err, &want) {
+		t.Errorf("garbage: got %v, want a DecodeError", err)
+	}
+	if err := m.Restore(nil); err != nil || m.Document().Number != 0 {
+		t.Errorf("no data: got %v, number %d, want an empty machine", err, m.Document().Number)
+	}
+}
--- a/pkg/catalog/machine.go
+++ b/pkg/catalog/machine.go
@@ -26,6 +26,10 @@
 		Parse func(text []byte) (*Catalog, error)
 		// Changed, if set, is called with each catalog that comes into force.
 		Changed func(c *Catalog)
+		// Failed, if set, is called with the error of a command that can't be
+		// read. Documents are checked before they are proposed, so that only
+		// another version of the program can send one.
+		Failed func(err error)
 
 		document Document
 		catalog  *Catalog
@@ -65,15 +69,15 @@
 func (m *Machine) Catalog() *Catalog { return m.catalog }
 
 // Apply puts a document into force if its number is higher than that of the
-// present one. A document that does not parse is ignored: it is checked before
-// it is proposed, so that only another version of the program can send one.
+// present one.
 func (m *Machine) Apply(_ replica.Index, command []byte, _ time.Time) []byte {
 	d, err := DecodeDocument(command)
-	if err != nil || d.Number <= m.document.Number {
-		return nil
+	if err == nil && d.Number > m.document.Number {
+		err = m.set(d)
+	}
+	if err != nil && m.Failed != nil {
+		m.Failed(err)
 	}
-	// Without the catalog, the same document is no error for other replicas.
-	_ = m.set(d)
 	return nil
 }
 
@@ -98,12 +102,15 @@
 	return m.set(d)
 }
 
+// set takes over a document. All replicas hold the same one, whether or not
+// they can read it; the catalog stays where one can't.
 func (m *Machine) set(d Document) error {
+	m.document = d
 	c, err := m.Parse(d.Text)
 	if err != nil {
 		return &DecodeError{Err: err}
 	}
-	m.document, m.catalog = d, c
+	m.catalog = c
 	if m.Changed != nil {
 		m.Changed(c)
 	}
--- /dev/null
+++ b/pkg/registry/registry_test.go
@@ -0,0 +1,243 @@
+package registry
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+)
+
+const silence = 3 * time.Second
+
+var start = time.Unix(1_700_000_000, 0)
+
+// record returns the announcement of the n-th life at a host.
+func record(id fleet.Incarnation, host byte, born int64, seq Sequence, state fleet.TargetState) Record {
+	return Record{
+		Target: fleet.Target{
+			ID: fleet.TargetID{
+				Service:     fleet.ServiceID(fmt.Sprintf("s%d", id%2)),
+				Address:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, host}), 80),
+				Incarnation: id,
+			},
+			Zone: "z", Slots: 3, ConnectionLimit: 10, State: state,
+		},
+		Born: born, Sequence: seq,
+	}
+}
+
+func states(r *Registry, now time.Time) map[fleet.Incarnation]fleet.TargetState {
+	m := make(map[fleet.Incarnation]fleet.TargetState)
+	for _, rec := range r.News(0, now) {
+		m[rec.Target.ID.Incarnation] = rec.Target.State
+		if rec.Silent {
+			m[rec.Target.ID.Incarnation] = "Silent"
+		}
+	}
+	return m
+}
+
+// Guards against announcements that arrive late, twice or crossed and bring back
+// what is over.
+func TestMergeOrder(t *testing.T) {
+	const ready, draining, gone = fleet.TargetReady, fleet.TargetDraining, fleet.TargetGone
+	for _, test := range []struct {
+		name    string
+		records []Record
+		leave   []fleet.Incarnation
+		want    map[fleet.Incarnation]fleet.TargetState
+	}{
+		{"late announcement after the drain", []Record{record(1, 1, 10, 5, draining), record(1, 1, 10, 4, ready)}, nil,
+			map[fleet.Incarnation]fleet.TargetState{1: draining}},
+		{"successor at the address", []Record{record(1, 1, 10, 5, ready), record(2, 1, 20, 1, ready)}, nil,
+			map[fleet.Incarnation]fleet.TargetState{1: gone, 2: ready}},
+		{"late announcement of a predecessor that was known", []Record{record(1, 1, 10, 5, ready), record(2, 1, 20, 1, ready), record(1, 1, 10, 6, ready)}, nil,
+			map[fleet.Incarnation]fleet.TargetState{1: gone, 2: ready}},
+		{"late announcement of a predecessor that was not known", []Record{record(2, 1, 20, 1, ready), record(1, 1, 10, 6, ready)}, nil,
+			map[fleet.Incarnation]fleet.TargetState{1: gone, 2: ready}},
+		{"the same id started again", []Record{record(1, 1, 10, 50, draining), record(1, 1, 20, 1, ready)}, nil,
+			map[fleet.Incarnation]fleet.TargetState{1: ready}},
+		{"the same id started again at another address", []Record{record(1, 1, 10, 50, ready), record(1, 2, 20, 1, ready), record(3, 1, 15, 1, ready)}, nil,
+			map[fleet.Incarnation]fleet.TargetState{1: ready, 3: ready}},
+		{"late announcement of the former start", []Record{record(1, 1, 20, 1, ready), record(1, 1, 10, 51, draining)}, nil,
+			map[fleet.Incarnation]fleet.TargetState{1: ready}},
+		{"announcement after the end", []Record{record(1, 1, 10, 5, draining)}, []fleet.Incarnation{1},
+			map[fleet.Incarnation]fleet.TargetState{1: gone}},
+	} {
+		r := New(silence, start)
+		for _, rec := range test.records {
+			if _, err := r.Merge(rec, start); err != nil {
+				t.Fatalf("%s: %v", test.name, err)
+			}
+		}
+		for _, id := range test.leave {
+			r.Leave(id, start)
+			if _, err := r.Merge(record(id, 1, 10, 100, ready), start); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := states(r, start); !reflect.DeepEqual(got, test.want) {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+// Guards against invalid records that get in.
+func TestMergeInvalid(t *testing.T) {
+	r := New(silence, start)
+	for _, rec := range []Record{{}, record(0, 1, 1, 1, fleet.TargetReady), record(1, 1, 1, 1, "Odd")} {
+		var want *fleet.FieldError
+		if _, err := r.Merge(rec, start); !errors.As(err, &want) {
+			t.Errorf("Merge(%+v): got %v, want a FieldError", rec, err)
+		}
+	}
+	if r.Len() != 0 {
+		t.Errorf("got %d targets, want none", r.Len())
+	}
+}
+
+// Guards against dead targets that stay, and against live ones that are lost
+// because this process stood still.
+func TestSilence(t *testing.T) {
+	r := New(silence, start)
+	if _, err := r.Merge(record(1, 1, 1, 1, fleet.TargetReady), start); err != nil {
+		t.Fatal(err)
+	}
+	now := start
+	tick := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(100 * time.Millisecond) {
+			r.Tick(now)
+		}
+	}
+	tick(silence)
+	if got := states(r, now)[1]; got != fleet.TargetReady {
+		t.Errorf("before the limit: got %s, want Ready", got)
+	}
+	now = now.Add(time.Minute)
+	tick(300 * time.Millisecond)
+	if got := states(r, now)[1]; got != "Silent" {
+		t.Errorf("after the limit: got %s, want Silent", got)
+	}
+	if _, err := r.Merge(record(1, 1, 1, 2, fleet.TargetReady), now); err != nil {
+		t.Fatal(err)
+	}
+	tick(time.Second)
+	now = now.Add(time.Minute) // the process stands still
+	tick(time.Second)
+	if got := states(r, now)[1]; got != fleet.TargetReady {
+		t.Errorf("after a pause of the process: got %s, want Ready", got)
+	}
+}
+
+// Guards against a registry that grows with every target that ever was.
+func TestGoneAreForgotten(t *testing.T) {
+	r := New(silence, start)
+	for id := fleet.Incarnation(1); id < 100; id++ {
+		if _, err := r.Merge(record(id, 1, int64(id), 1, fleet.TargetReady), start); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := len(r.News(0, start)); got != 99 {
+		t.Errorf("got %d records, want 99", got)
+	}
+	r.Tick(start.Add(GoneRetention + time.Second))
+	if got := len(r.News(0, start)); got != 1 {
+		t.Errorf("after the retention: got %d records, want 1", got)
+	}
+}
+
+// Guards against subscribers that are told nothing of a change, or everything
+// each time.
+func TestChanges(t *testing.T) {
+	r := New(silence, start)
+	merge := func(rec Record) {
+		t.Helper()
+		if _, err := r.Merge(rec, start); err != nil {
+			t.Fatal(err)
+		}
+	}
+	merge(record(1, 1, 1, 1, fleet.TargetReady))
+	merge(record(2, 2, 1, 1, fleet.TargetReady))
+	v := r.Version()
+	merge(record(1, 1, 1, 2, fleet.TargetReady))
+	if got := len(r.Changes(v, start)); got != 0 {
+		t.Errorf("changes after an announcement with nothing new: got %d, want 0", got)
+	}
+	if got := len(r.News(v, start)); got != 1 {
+		t.Errorf("news after an announcement with nothing new: got %d, want 1", got)
+	}
+	merge(record(2, 2, 1, 2, fleet.TargetDraining))
+	if got := r.Changes(v, start); len(got) != 1 || got[0].Target.State != fleet.TargetDraining {
+		t.Errorf("changes after a drain: got %+v, want one", got)
+	}
+}
+
+// Guards against hubs that disagree for ever: registries that have exchanged all
+// records hold the same states, whatever the order in which these arrived.
+func TestConvergence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		var records []Record
+		for range rapid.IntRange(1, 30).Draw(t, "records") {
+			id := fleet.Incarnation(1 + rnd.IntN(6))
+			// A start of an id is at one address.
+			born := int64(1+rnd.IntN(3))*10 + int64(id)
+			host := byte((int64(id) + born) % 3)
+			seq := Sequence(rnd.IntN(4))
+			state := fleet.TargetReady
+			if seq > 2 {
+				state = fleet.TargetDraining
+			}
+			records = append(records, record(id, host, born, seq, state))
+		}
+		a, b := New(silence, start), New(silence, start)
+		for _, rec := range records {
+			mustMerge(t, a, rec)
+		}
+		for _, i := range rnd.Perm(len(records)) {
+			mustMerge(t, b, records[i])
+		}
+		for range 3 {
+			for _, rec := range a.News(0, start) {
+				mustMerge(t, b, rec)
+			}
+			for _, rec := range b.News(0, start) {
+				mustMerge(t, a, rec)
+			}
+		}
+		if got, want := states(a, start), states(b, start); !reflect.DeepEqual(got, want) {
+			t.Fatalf("after %+v: got %v and %v, want the same", records, got, want)
+		}
+		owners := make(map[netip.AddrPort]bool)
+		for _, rec := range a.News(0, start) {
+			if address := rec.Target.ID.Address; !rec.Gone() {
+				if owners[address] {
+					t.Fatalf("two live targets at %s", address)
+				}
+				owners[address] = true
+			}
+		}
+	})
+}
+
+func mustMerge(t *rapid.T, r *Registry, rec Record) {
+	if _, err := r.Merge(rec, start); err != nil {
+		t.Fatal(err)
+	}
+	live := 0
+	for _, rec := range r.News(0, start) {
+		if !rec.Gone() {
+			live++
+		}
+	}
+	if live != r.Len() {
+		t.Fatalf("Len: got %d, want %d", r.Len(), live)
+	}
+}
