Close the connections of subscribers that have gone

Found by TestGarbage, which waited for the end of a connection for ever; it and the other tests of the feed and the hub are new.

--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,311 @@
+package feed
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"bamboowalk.org/bamboowalk/pkg/catalog"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/registry"
+)
+
+const patience = 10 * time.Second
+
+func record(id fleet.Incarnation, seq registry.Sequence, state fleet.TargetState) registry.Record {
+	return registry.Record{
+		Target: fleet.Target{
+			ID:   fleet.TargetID{Service: "s", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 80), Incarnation: id},
+			Zone: "z0", Slots: 1, ConnectionLimit: 1, State: state,
+		},
+		Born: 1, Sequence: seq,
+	}
+}
+
+func catalogOf(n catalog.Number, routes int) *catalog.Catalog {
+	c := &catalog.Catalog{Number: n, Services: []catalog.Service{{ID: "s"}}}
+	for i := range routes {
+		c.Routes = append(c.Routes, catalog.Route{
+			Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 80),
+			Deadline: time.Second, Shares: []catalog.Share{{Service: "s", Weight: 1}},
+		})
+	}
+	return c
+}
+
+// publish runs a publisher on loopback until the test ends.
+func publish(t *testing.T, self fleet.VMID) (*Board, string) {
+	t.Helper()
+	before := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, before) })
+	now := time.Now()
+	b := NewBoard(Hub{VM: self, Zone: "z0"}, registry.New(3*time.Second, now), now)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	p := &Publisher{Board: b, Listener: l}
+	go func() { done <- p.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("Run: %v", err)
+		}
+	})
+	return b, l.Addr().String()
+}
+
+// subscriber acknowledges updates until one is accepted.
+type subscriber struct {
+	*testing.T
+	*Subscription
+	ack Ack
+}
+
+func open(t *testing.T, address string, hello *Hello) *subscriber {
+	t.Helper()
+	s, err := Open(context.Background(), address, hello)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return &subscriber{T: t, Subscription: s}
+}
+
+func (s *subscriber) until(what string, ok func(u *Update) bool) *Update {
+	s.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		u, err := s.Next()
+		if err != nil {
+			s.Fatalf("%s: %v", what, err)
+		}
+		s.ack.Version = u.Version
+		if err := s.Acknowledge(s.ack); err != nil {
+			s.Fatalf("%s: %v", what, err)
+		}
+		if ok(u) {
+			return u
+		}
+	}
+	s.Fatalf("%s: no such update", what)
+	return nil
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("%s: not within %v", what, patience)
+}
+
+// Guards against entry VMs that miss a change, or get the whole state again with
+// each.
+func TestEntryFeed(t *testing.T) {
+	b, address := publish(t, "h")
+	now := time.Now()
+	merge := func(rec registry.Record) {
+		t.Helper()
+		if _, err := b.Merge(rec, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	merge(record(1, 1, fleet.TargetReady))
+	b.SetCatalog(catalogOf(1, 300))
+	b.SetHubs([]fleet.VMID{"h"}, true)
+	s := open(t, address, &Hello{VM: "e", Zone: "z0", Role: Entry})
+	u := s.until("first update", func(*Update) bool { return true })
+	if !u.Full || u.Catalog == nil || !u.Catalog.Full || len(u.Records) != 1 || !u.Current || !slices.Equal(u.Hubs, []Hub{{"h", "z0"}}) {
+		t.Errorf("first update: got %+v, want all that is known", u)
+	}
+	merge(record(2, 1, fleet.TargetReady))
+	u = s.until("new target", func(u *Update) bool { return len(u.Records) > 0 })
+	if len(u.Records) != 1 || u.Records[0].Target.ID.Incarnation != 2 || u.Full || u.Catalog != nil {
+		t.Errorf("update with a new target: got %+v, want that target alone", u)
+	}
+	next := catalogOf(2, 300)
+	next.Routes[5].Deadline *= 2
+	b.SetCatalog(next)
+	u = s.until("new catalog", func(u *Update) bool { return u.Catalog != nil })
+	if u.Catalog.Full || len(u.Catalog.Routes) != 1 || u.Catalog.From != 1 {
+		t.Errorf("update with a new catalog: got %+v, want a delta of one route", u.Catalog)
+	}
+	b.Leave(1, now)
+	u = s.until("end of a target", func(u *Update) bool { return len(u.Records) > 0 })
+	if !u.Records[0].Gone() {
+		t.Errorf("update with the end of a target: got %+v, want it gone", u.Records)
+	}
+	// One that reconnects with a catalog gets what it lacks.
+	s = open(t, address, &Hello{VM: "e", Zone: "z0", Role: Entry, Number: 2})
+	if u := s.until("first update", func(*Update) bool { return true }); u.Catalog != nil {
+		t.Errorf("catalog for one that has it: got %+v, want none", u.Catalog)
+	}
+}
+
+// Guards against feeds that go silent while nothing changes.
+func TestBeats(t *testing.T) {
+	_, address := publish(t, "h")
+	s := open(t, address, &Hello{VM: "e", Role: Entry})
+	started := time.Now()
+	n := 0
+	s.until("beats", func(*Update) bool { n++; return n == 5 })
+	if d := time.Since(started); d > 4*SilenceLimit {
+		t.Errorf("five updates took %v, want about %v", d, 4*BeatInterval)
+	}
+}
+
+// Guards against hubs that take an announcement for known elsewhere too early,
+// or never.
+func TestConfirmed(t *testing.T) {
+	b, address := publish(t, "a")
+	b.SetHubs([]fleet.VMID{"a", "b", "c"}, true)
+	v, err := b.Merge(record(1, 1, fleet.TargetDraining), time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	short, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if err := b.Confirmed(short, "a", v); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("without another hub: got %v, want a timeout", err)
+	}
+	s := open(t, address, &Hello{VM: "b", Zone: "z1", Role: Control})
+	u := s.until("record", func(u *Update) bool { return len(u.Records) > 0 })
+	if u.Records[0].Target.State != fleet.TargetDraining {
+		t.Errorf("record: got %+v, want one that drains", u.Records[0])
+	}
+	long, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := b.Confirmed(long, "a", v); err != nil {
+		t.Errorf("with another hub: got %v, want no error", err)
+	}
+	s.Close()
+	eventually(t, "acknowledgements of a closed connection are forgotten", func() bool {
+		ok, _ := b.majority("a", v)
+		return !ok
+	})
+}
+
+// Guards against hubs that do not learn what another one has heard.
+func TestTake(t *testing.T) {
+	b, address := publish(t, "a")
+	b.SetCatalog(catalogOf(4, 3))
+	if _, err := b.Merge(record(1, 7, fleet.TargetReady), time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	other, _ := publish(t, "b")
+	s := open(t, address, &Hello{VM: "b", Zone: "z1", Role: Control})
+	u := s.until("first update", func(*Update) bool { return true })
+	if err := other.Take("a", u, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	if other.Number() != 4 || other.Targets() != 1 {
+		t.Errorf("got catalog %d and %d targets, want 4 and 1", other.Number(), other.Targets())
+	}
+	// An announcement that changes nothing keeps the target from being taken for
+	// silent elsewhere.
+	if _, err := b.Merge(record(1, 8, fleet.TargetReady), time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	s.until("announcement", func(u *Update) bool { return len(u.Records) == 1 && u.Records[0].Sequence == 8 })
+	bad := &Update{Catalog: &catalog.Delta{From: 1, To: 9}}
+	var delta *catalog.DeltaError
+	if err := other.Take("a", bad, time.Now()); !errors.As(err, &delta) {
+		t.Errorf("delta from another catalog: got %v, want a DeltaError", err)
+	}
+}
+
+// Guards against a target that all VMs avoid because one has lost its links, and
+// against one that each VM has to find dead by itself.
+func TestSharedDoubts(t *testing.T) {
+	b, address := publish(t, "a")
+	var subs []*subscriber
+	for i := range 3 {
+		s := open(t, address, &Hello{VM: fleet.VMID(fmt.Sprintf("e%d", i)), Zone: "z0", Role: Entry})
+		s.until("first update", func(*Update) bool { return true })
+		subs = append(subs, s)
+	}
+	report := func(i int, ids ...fleet.Incarnation) {
+		t.Helper()
+		subs[i].ack.Doubts = ids
+		if err := subs[i].Acknowledge(subs[i].ack); err != nil {
+			t.Fatal(err)
+		}
+	}
+	shared := func(want ...fleet.Incarnation) func(u *Update) bool {
+		return func(u *Update) bool { return slices.Equal(u.Shared, want) }
+	}
+	report(0, 5, 6)
+	eventually(t, "doubts of one VM", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.doubts.own) == 2
+	})
+	subs[2].until("one doubter", shared())
+	report(1, 6)
+	subs[2].until("two doubters", shared(6))
+	// Another hub's doubters count too.
+	if err := b.Take("b", &Update{Doubts: []Doubt{{Target: 5, VMs: 1}}}, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	subs[2].until("a doubter at another hub", shared(5, 6))
+	b.Lost("b")
+	subs[2].until("without the other hub", shared(6))
+	subs[1].Close()
+	subs[2].until("without the second VM", shared())
+}
+
+// Guards against a publisher that garbage stops, and against messages that make
+// a reader take any amount of memory.
+func TestGarbage(t *testing.T) {
+	_, address := publish(t, "a")
+	for _, garbage := range [][]byte{nil, {0, 0, 0, 1, 0xff}, binary.BigEndian.AppendUint32(nil, 1<<31), bytes.Repeat([]byte{7}, 1000)} {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write(garbage); err != nil {
+			t.Fatal(err)
+		}
+		if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		// Reset or closed: both end the connection.
+		_, _ = io.ReadAll(conn)
+		conn.Close()
+	}
+	s := open(t, address, &Hello{VM: "e", Role: Entry})
+	s.until("update after garbage", func(*Update) bool { return true })
+}
+
+// Guards against a panic on bytes from the network.
+func FuzzRead(f *testing.F) {
+	for _, m := range []message{&Hello{VM: "a", Role: Entry}, &Update{Records: []registry.Record{record(1, 1, fleet.TargetReady)}}} {
+		b, err := encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		u := new(Update)
+		if read(bytes.NewReader(b), u) == nil && u.Validate() != nil {
+			t.Errorf("got invalid update %+v", u)
+		}
+		// The error says why the bytes are no greeting; none may panic.
+		_ = read(bytes.NewReader(b), new(Hello))
+	})
+}
--- a/internal/feed/publisher.go
+++ b/internal/feed/publisher.go
@@ -68,6 +68,7 @@
 
 // serve sends updates until the connection fails or ctx ends.
 func (p *Publisher) serve(ctx context.Context, conn net.Conn) {
+	defer conn.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
