Write decision logs and metrics

Change: each daemon writes JSON lines through a bounded buffer that never blocks (internal/logging): opening decisions with what they were decided by, resets, drops, flows without an answer or later than their objective, changes of targets, catalogs, feeds, roles and hubs; lines are limited by cause, and the next one says how many were left out. Metrics by client_golang on a port of their own. internal/replication collects the replica's counters for both control daemons.

--- a/cmd/bamboowalkd/main.go
+++ b/cmd/bamboowalkd/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -11,8 +12,8 @@
 
 	"github.com/alecthomas/kong"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
+	"bamboowalk.org/bamboowalk/internal/logging"
 	"bamboowalk.org/bamboowalk/platform"
 )
 
@@ -22,28 +23,54 @@
 		Control controlCommand `cmd:"" help:"Run a control VM."`
 	}
 
-	entryCommand   struct{}
-	controlCommand struct{}
+	entryCommand struct {
+		Config string `type:"path" placeholder:"FILE" help:"Settings file; left out, the one that the platform has made."`
+		Check  bool   `help:"Check the settings file and exit."`
+	}
+
+	controlCommand struct {
+		Config string `type:"path" placeholder:"FILE" help:"Settings file; left out, the one that the platform has made."`
+		Check  bool   `help:"Check the settings file and exit."`
+	}
 )
 
 // Run serves until SIGTERM or SIGINT.
-func (entryCommand) Run(ctx context.Context, log *zap.Logger) error {
-	return platform.RunEntry(ctx, log)
+func (c *entryCommand) Run(ctx context.Context, log platform.Log) error {
+	path := cmp.Or(c.Config, platform.SettingsPath())
+	if c.Check {
+		return report(path, platform.CheckEntry(path))
+	}
+	return platform.RunEntry(ctx, path, log)
 }
 
 // Run serves until SIGTERM or SIGINT.
-func (controlCommand) Run(ctx context.Context, log *zap.Logger) error {
-	return platform.RunControl(ctx, log)
+func (c *controlCommand) Run(ctx context.Context, log platform.Log) error {
+	path := cmp.Or(c.Config, platform.SettingsPath())
+	if c.Check {
+		return report(path, platform.CheckControl(path))
+	}
+	return platform.RunControl(ctx, path, log)
+}
+
+// report prints that a settings file has no faults, unless it has.
+func report(path string, err error) error {
+	if err == nil {
+		fmt.Printf("%s: no faults\n", path)
+	}
+	return err
 }
 
 func main() {
 	var cmds commands
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.Lock(os.Stdout), zap.InfoLevel))
+	logger, w := logging.New(os.Stdout, zap.InfoLevel)
+	log := platform.Log{Logger: logger, Dropped: w.Dropped}
 	k := kong.Parse(&cmds, kong.Name("bamboowalkd"), kong.Description("The daemons of a layer-4 load balancer."),
 		kong.BindTo(ctx, (*context.Context)(nil)), kong.Bind(log))
-	if err := k.Run(); err != nil {
+	err := k.Run()
+	w.Close()
+	if err != nil {
 		fmt.Fprintf(os.Stderr, "bamboowalkd: error: %v\n", err)
 		os.Exit(1)
 	}
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -245,7 +245,7 @@
 func (d *Daemon) serve(ctx context.Context) error {
 	api := &API{Log: d.loop, RootKeyHash: d.Settings.RootKeyHash}
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(&collector{loop: d.loop})
+	registry.MustRegister(&collector{loop: d.loop}, &replication.Collector{Loop: func() *replication.Loop { return &d.loop.Loop }})
 	mux := http.NewServeMux()
 	mux.Handle("/", api.Handler())
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -32,6 +33,8 @@
 	confirmed map[fleet.VMID]registry.Version
 	acked     chan struct{}
 	doubts    doubts
+	// subscribers counts the connections.
+	subscribers map[Role]int
 }
 
 // cursor is what a subscriber has been told.
@@ -50,14 +53,15 @@
 // NewBoard returns the board of hub self without a catalog.
 func NewBoard(self Hub, targets *registry.Registry, now time.Time) *Board {
 	return &Board{
-		zones:      map[fleet.VMID]fleet.ZoneID{self.VM: self.Zone},
-		targets:    targets,
-		completeAt: now.Add(targets.SilenceLimit),
-		changed:    make(chan struct{}),
-		touched:    make(chan struct{}),
-		confirmed:  make(map[fleet.VMID]registry.Version),
-		acked:      make(chan struct{}),
-		doubts:     newDoubts(),
+		zones:       map[fleet.VMID]fleet.ZoneID{self.VM: self.Zone},
+		targets:     targets,
+		completeAt:  now.Add(targets.SilenceLimit),
+		changed:     make(chan struct{}),
+		touched:     make(chan struct{}),
+		confirmed:   make(map[fleet.VMID]registry.Version),
+		acked:       make(chan struct{}),
+		doubts:      newDoubts(),
+		subscribers: map[Role]int{Entry: 0, Control: 0},
 	}
 }
 
@@ -298,3 +302,31 @@
 	}
 	u.Shared = b.doubts.shared
 }
+
+// Stats are the gauges of a board.
+type Stats struct {
+	Targets     map[fleet.TargetState]int
+	Subscribers map[Role]int
+	Number      catalog.Number
+	Current     bool
+	Hubs        int
+	// Shared is the number of targets that do not answer several entry VMs.
+	Shared int
+}
+
+// Stats returns the present gauges.
+func (b *Board) Stats() Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Stats{
+		Targets: b.targets.States(), Subscribers: maps.Clone(b.subscribers), Number: b.catalog.Number(),
+		Current: b.current, Hubs: len(b.hubs), Shared: len(b.doubts.shared),
+	}
+}
+
+// subscribed counts the connections of a role.
+func (b *Board) subscribed(r Role, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.subscribers[r] += n
+}
--- a/internal/feed/publisher.go
+++ b/internal/feed/publisher.go
@@ -30,9 +30,6 @@
 	subscribers atomic.Int64
 }
 
-// Subscribers returns the number of connections.
-func (p *Publisher) Subscribers() int { return int(p.subscribers.Load()) }
-
 // Run serves until ctx ends; it returns the error of the listener where that
 // fails before.
 func (p *Publisher) Run(ctx context.Context) error {
@@ -84,6 +81,8 @@
 		defer cancel()
 		p.receive(conn, &hello)
 	}()
+	p.Board.subscribed(hello.Role, 1)
+	defer p.Board.subscribed(hello.Role, -1)
 	c := &cursor{role: hello.Role, number: hello.Number}
 	p.send(ctx, conn, c)
 	if hello.Role == Control {
--- a/internal/gateway/check.go
+++ b/internal/gateway/check.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"bamboowalk.org/bamboowalk/internal/logging"
 	"bamboowalk.org/bamboowalk/pkg/steering"
 )
 
@@ -41,6 +43,8 @@
 		ctx   context.Context
 		slots chan struct{}
 		wg    sync.WaitGroup
+		// passed and failed count checks.
+		passed, failed atomic.Uint64
 	}
 
 	// checkError reports a health check that a target has not passed.
@@ -64,7 +68,7 @@
 
 // begin starts the checks of a target; it does not wait.
 func (c *checker) begin(t *steering.Target) {
-	c.Log.Info("target in doubt", zap.Stringer("Target", t.ID), zap.String("Cause", "no answer to an opening packet"))
+	c.Log.Info("target in doubt", target(logging.Target, t), zap.Uint64(logging.Sequence, uint64(t.Sequence)))
 	c.wg.Go(func() { c.check(t) })
 }
 
@@ -83,12 +87,14 @@
 			return
 		}
 		if err == nil {
+			c.passed.Add(1)
 			c.Core.Report(t.Cookie, true)
-			c.Log.Info("target answers", zap.Stringer("Target", t.ID), zap.Int("Checks", n), zap.Duration("After", time.Since(started)))
+			c.Log.Info("target answers", target(logging.Target, t), zap.Int("Checks", n), zap.Duration(logging.After, time.Since(started)))
 			return
 		}
+		c.failed.Add(1)
 		if n == 1 {
-			c.Log.Warn("target fails its health check", zap.Stringer("Target", t.ID), zap.Error(err))
+			c.Log.Warn("target fails its health check", target(logging.Target, t), zap.Error(err))
 		}
 		select {
 		case <-c.ctx.Done():
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"bamboowalk.org/bamboowalk/internal/feed"
+	"bamboowalk.org/bamboowalk/internal/logging"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/steering"
 )
@@ -42,6 +43,8 @@
 		Zone fleet.ZoneID
 		// Data receives packets, and HTTP health checks.
 		Data, HTTP netip.AddrPort
+		// Metrics serves metrics; it may be unset.
+		Metrics netip.AddrPort
 		// Seeds are the HTTP addresses of some hubs.
 		Seeds []netip.AddrPort
 		// Feed is the port of the feed on every hub.
@@ -69,19 +72,22 @@
 	Daemon struct {
 		Settings *Settings
 		Codec    Codec
-		// Handler adds the platform's health check of this VM to the HTTP
-		// interface.
+		// Handler returns the HTTP interface with the platform's health check.
 		Handler func(d *Daemon) http.Handler
 		Log     *zap.Logger
+		// LinesDropped returns the number of log lines that were lost.
+		LinesDropped func() uint64
 
 		core     *steering.Core
 		conn     *net.UDPConn
 		follower follower
 		checker  checker
+		observer observer
 		ready    atomic.Bool
 		leaving  atomic.Bool
 		packets  atomic.Uint64
 		invalid  atomic.Uint64
+		unsent   atomic.Uint64
 	}
 
 	// OpenError reports a port that can't be opened.
@@ -139,12 +145,18 @@
 	d.checker.Core, d.checker.Matches, d.checker.Log = d.core, d.Codec.Matches, d.Log
 	d.checker.Changed = d.follower.doubtsChanged
 	d.checker.slots = make(chan struct{}, maxChecks)
-	d.core.Doubted = d.checker.begin
+	d.observer.Log, d.observer.Doubted, d.observer.Ages = d.Log, d.checker.begin, d.follower.ages
+	d.observer.opens, d.observer.flows = newHistograms()
+	d.core.Observer = &d.observer
 	server := &http.Server{Handler: d.Handler(d), ReadHeaderTimeout: readHeaderTimeout}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, work := errgroup.WithContext(work)
 	d.checker.ctx = work
+	metrics, err := d.listenMetrics()
+	if err != nil {
+		return err
+	}
 	d.Log.Info("entry VM started", zap.String("Zone", string(d.Settings.Zone)))
 	group.Go(func() error { return d.follower.run(work) })
 	group.Go(func() error { return d.receive(work) })
@@ -155,6 +167,9 @@
 		}
 		return nil
 	})
+	group.Go(func() error {
+		return logging.ServeMetrics(work, metrics, &collector{d}, d.observer.opens, d.observer.flows)
+	})
 	group.Go(func() error {
 		d.drain(ctx, work)
 		stop()
@@ -165,6 +180,19 @@
 	return err
 }
 
+// listenMetrics opens the port of the metrics, or returns nil where the settings
+// have none.
+func (d *Daemon) listenMetrics() (net.Listener, error) {
+	if !d.Settings.Metrics.IsValid() {
+		return nil, nil
+	}
+	l, err := net.Listen("tcp", d.Settings.Metrics.String())
+	if err != nil {
+		return nil, &OpenError{What: "the port of the metrics", Err: err}
+	}
+	return l, nil
+}
+
 func (d *Daemon) setMirror(m *mirror, now time.Time) {
 	v := m.view(now)
 	d.core.SetView(v)
@@ -219,6 +247,7 @@
 
 func (d *Daemon) act(out, b []byte, p *steering.Packet, now time.Time) []byte {
 	decision := d.core.Decide(p, now)
+	d.observer.decided(p, &decision, now)
 	var to netip.AddrPort
 	switch decision.Op {
 	case steering.Forward:
@@ -230,6 +259,8 @@
 		return out
 	}
 	// A datagram that can't be sent is lost, as on the network.
-	_, _ = d.conn.WriteToUDPAddrPort(out, to)
+	if _, err := d.conn.WriteToUDPAddrPort(out, to); err != nil {
+		d.unsent.Add(1)
+	}
 	return out
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -6,12 +6,14 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"bamboowalk.org/bamboowalk/internal/feed"
 	"bamboowalk.org/bamboowalk/internal/hub"
+	"bamboowalk.org/bamboowalk/internal/logging"
 	"bamboowalk.org/bamboowalk/pkg/catalog"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/registry"
@@ -53,6 +55,10 @@
 		// source is the present hub, and version the last that was acknowledged.
 		source  *source
 		version registry.Version
+		// heard and catalogAt are the times of the last update and of the last
+		// catalog, in Unix nanoseconds, and 0 before the first.
+		heard, catalogAt atomic.Int64
+		feeds            atomic.Uint64
 	}
 
 	// source is a hub whose feed has begun.
@@ -205,7 +211,8 @@
 // found, which it returns.
 func (f *follower) follow(ctx context.Context, s *source) *source {
 	defer s.feed.Close()
-	f.Log.Info("feed connected", zap.String("Hub", string(s.hub)), zap.Bool("Current", s.first.Current),
+	f.feeds.Add(1)
+	f.Log.Info("feed connected", zap.String(logging.Hub, string(s.hub)), zap.Bool("Current", s.first.Current),
 		zap.Bool("Complete", s.first.Complete), zap.Int("Targets", len(s.first.Records)))
 	var found chan *source
 	var searched, current time.Time
@@ -238,7 +245,7 @@
 			u, err = s.feed.Next()
 		}
 		if err != nil {
-			f.Log.Warn("feed lost", zap.String("Hub", string(s.hub)), zap.Error(err))
+			f.Log.Warn("feed lost", zap.String(logging.Hub, string(s.hub)), zap.Error(err))
 			if found != nil {
 				return <-found
 			}
@@ -291,12 +298,54 @@
 func (f *follower) take(u *feed.Update, now time.Time) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.heard.Store(now.UnixNano())
 	if len(u.Hubs) > 0 {
 		f.hubs = u.Hubs
 	}
+	f.tell(u)
+	before := f.mirror.number()
 	changed, err := f.mirror.take(u, now)
+	if n := f.mirror.number(); n != before {
+		f.catalogAt.Store(now.UnixNano())
+		f.Log.Info("catalog in force", zap.Uint64(logging.Number, uint64(n)), zap.Uint64("Before", uint64(before)),
+			zap.Bool("Full", u.Catalog.Full), zap.Int("Changed", len(u.Catalog.Routes)), zap.Int("Removed", len(u.Catalog.Removed)))
+	}
 	if changed {
 		f.Apply(&f.mirror, now)
 	}
 	return err
 }
+
+// tell writes a line for each target that has changed, but for the list with
+// which a feed begins.
+func (f *follower) tell(u *feed.Update) {
+	if u.Full {
+		return
+	}
+	for i := range u.Records {
+		rec := &u.Records[i]
+		f.Log.Info("target changed", zap.Stringer(logging.Target, rec.Target.ID), zap.String(logging.State, string(rec.State())),
+			zap.Uint64(logging.Sequence, uint64(rec.Sequence)), zap.Duration("Heard", rec.Age))
+	}
+}
+
+// states counts the targets by their states, and returns the catalog's number.
+func (f *follower) states() (map[fleet.TargetState]int, catalog.Number) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mirror.states(), f.mirror.number()
+}
+
+// ages returns the time since the catalog and since the last update came, 0
+// where none has. It takes no lock, since the goroutine of the packets calls it.
+func (f *follower) ages(now time.Time) (catalog, feed time.Duration) {
+	return age(&f.catalogAt, now), age(&f.heard, now)
+}
+
+func age(at *atomic.Int64, now time.Time) time.Duration {
+	ns := at.Load()
+	if ns == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, ns))
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/registry"
+	"bamboowalk.org/bamboowalk/pkg/steering"
+)
+
+// Names of the histograms, which are made before a daemon runs.
+const (
+	openName = "bamboowalk_flow_open_seconds"
+	openHelp = "Time from a flow's opening packet to the caller's acknowledgement of the target's answer."
+	flowName = "bamboowalk_flow_seconds"
+	flowHelp = "Time from a flow's opening packet to its end."
+)
+
+var (
+	packetsDesc    = newDesc("steered_packets_total", "Packets of callers, by the cause of the decision.", "cause")
+	invalidDesc    = newDesc("invalid_packets_total", "Datagrams that are no packet of a caller.")
+	sendsDesc      = newDesc("failed_sends_total", "Packets that could not be sent.")
+	flowsDesc      = newDesc("table_flows", "Flows in the table, ended ones included that are still remembered.")
+	doubtedDesc    = newDesc("doubted_targets", "Targets that do not answer this VM.")
+	targetsDesc    = newDesc("known_targets", "Targets, by their state as the feed tells it.", "state")
+	numberDesc     = newDesc("catalog_number", "Number of the catalog in force at this VM.")
+	catalogAgeDesc = newDesc("catalog_age_seconds", "Time since the catalog came into force at this VM.")
+	feedAgeDesc    = newDesc("feed_age_seconds", "Time since the last update of a hub.")
+	feedsDesc      = newDesc("feeds_total", "Feeds of hubs that have begun.")
+	checksDesc     = newDesc("target_checks_total", "Health checks of targets in doubt, by result.", "result")
+	leftOutDesc    = newDesc("log_lines_left_out_total", "Log lines left out because of their number.")
+	droppedDesc    = newDesc("log_lines_dropped_total", "Log lines lost because the output was not read.")
+
+	// flowBuckets cover requests from some milliseconds to their deadlines, in
+	// seconds.
+	flowBuckets = []float64{.005, .01, .02, .05, .1, .15, .2, .3, .5, 1, 2, 5}
+	// openBuckets cover round trips and the intervals of copies, in seconds.
+	openBuckets = []float64{.002, .005, .01, .02, .05, .1, .2, .4, .8, 1.6}
+)
+
+// Descriptions returns the descriptions of the metrics of an entry VM.
+func Descriptions() []*prometheus.Desc {
+	opens, flows := newHistograms()
+	descs := make(chan *prometheus.Desc, 2)
+	opens.Describe(descs)
+	flows.Describe(descs)
+	return []*prometheus.Desc{
+		packetsDesc, invalidDesc, sendsDesc, flowsDesc, doubtedDesc, targetsDesc, numberDesc, catalogAgeDesc,
+		feedAgeDesc, feedsDesc, checksDesc, leftOutDesc, droppedDesc, <-descs, <-descs,
+	}
+}
+
+func newDesc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("bamboowalk_"+name, help, labels, nil)
+}
+
+func newHistograms() (opens, flows *prometheus.HistogramVec) {
+	opens = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: openName, Help: openHelp, Buckets: openBuckets}, []string{"kind"})
+	flows = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: flowName, Help: flowHelp, Buckets: flowBuckets}, []string{"kind", "result"})
+	return opens, flows
+}
+
+// collector reads the counters of a daemon at each scrape.
+type collector struct{ d *Daemon }
+
+var _ prometheus.Collector = (*collector)(nil)
+
+// Describe sends no descriptions, since the collector is unchecked.
+func (*collector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect sends the present values.
+func (c *collector) Collect(ch chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	counter := func(d *prometheus.Desc, v uint64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
+	}
+	now := time.Now()
+	stats := c.d.core.Stats()
+	for _, cause := range steering.Causes {
+		counter(packetsDesc, stats.Decisions[cause], string(cause))
+	}
+	counter(invalidDesc, c.d.invalid.Load())
+	counter(sendsDesc, c.d.unsent.Load())
+	gauge(flowsDesc, float64(stats.Flows))
+	gauge(doubtedDesc, float64(stats.Doubted))
+	f := &c.d.follower
+	states, number := f.states()
+	for _, state := range []fleet.TargetState{fleet.TargetReady, fleet.TargetDraining, fleet.TargetGone, registry.StateSilent} {
+		gauge(targetsDesc, float64(states[state]), string(state))
+	}
+	catalogAge, feedAge := f.ages(now)
+	gauge(numberDesc, float64(number))
+	gauge(catalogAgeDesc, catalogAge.Seconds())
+	gauge(feedAgeDesc, feedAge.Seconds())
+	counter(feedsDesc, f.feeds.Load())
+	counter(checksDesc, c.d.checker.passed.Load(), "passed")
+	counter(checksDesc, c.d.checker.failed.Load(), "failed")
+	counter(leftOutDesc, c.d.observer.limiter.LeftOut())
+	counter(droppedDesc, c.d.LinesDropped())
+}
--- a/internal/gateway/mirror.go
+++ b/internal/gateway/mirror.go
@@ -76,3 +76,12 @@
 	}
 	return steering.NewView(m.catalog, records, now)
 }
+
+// states counts the targets by their states.
+func (m *mirror) states() map[fleet.TargetState]int {
+	states := make(map[fleet.TargetState]int)
+	for _, rec := range m.records {
+		states[rec.State()]++
+	}
+	return states
+}
--- a/internal/hub/cache.go
+++ b/internal/hub/cache.go
@@ -72,6 +72,8 @@
 		err := d.save()
 		if err == nil {
 			saved = mark
+		} else {
+			d.unsaved.Add(1)
 		}
 		if (err != nil) != failing {
 			failing = err != nil
--- a/internal/hub/calls.go
+++ b/internal/hub/calls.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"bamboowalk.org/bamboowalk/internal/logging"
 	"bamboowalk.org/bamboowalk/pkg/catalog"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/registry"
@@ -34,10 +35,13 @@
 }
 
 func (d *Daemon) confirm(ctx context.Context, id fleet.Incarnation, v registry.Version) error {
+	started := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	if err := d.board.Confirmed(ctx, d.Settings.ID(), v); err != nil {
-		d.Log.Warn("end of a target not acknowledged", zap.Uint64("Incarnation", uint64(id)), zap.Error(err))
+	err := d.board.Confirmed(ctx, d.Settings.ID(), v)
+	d.Log.Info("end of a target acknowledged", zap.Uint64("Incarnation", uint64(id)), zap.Bool("Confirmed", err == nil),
+		zap.Duration(logging.After, time.Since(started)))
+	if err != nil {
 		return &UnavailableError{Err: err}
 	}
 	return nil
--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -14,10 +14,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"bamboowalk.org/bamboowalk/internal/feed"
+	"bamboowalk.org/bamboowalk/internal/logging"
 	"bamboowalk.org/bamboowalk/internal/replication"
 	"bamboowalk.org/bamboowalk/pkg/catalog"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
@@ -56,15 +58,23 @@
 		Settings *Settings
 		// Parse reads the operator's text of a catalog.
 		Parse func(text []byte) (*catalog.Catalog, error)
-		// Handler returns the HTTP interface.
-		Handler func(d *Daemon) http.Handler
+		// Handler is the HTTP interface.
+		Handler http.Handler
 		Log     *zap.Logger
+		// LinesDropped returns the number of log lines that were lost.
+		LinesDropped func() uint64
+		// Collectors are metrics of the HTTP interface.
+		Collectors []prometheus.Collector
 
 		board     *feed.Board
 		transport *replication.Transport
 		// log is nil while the replica is down.
-		log  atomic.Pointer[log]
-		role string
+		log     atomic.Pointer[log]
+		role    string
+		members []fleet.VMID
+		// limiter limits the log lines.
+		limiter logging.Limiter
+		unsaved atomic.Uint64
 		// seeds replace those of the settings after a reload.
 		seeds atomic.Pointer[[]netip.AddrPort]
 	}
@@ -131,7 +141,9 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	now := time.Now()
 	silence := time.Duration(silentAnnouncements * float64(d.Settings.AnnounceInterval))
-	d.board = feed.NewBoard(feed.Hub{VM: d.Settings.ID(), Zone: d.Settings.Zone}, registry.New(silence, now), now)
+	targets := registry.New(silence, now)
+	targets.Observe = d.targetChanged
+	d.board = feed.NewBoard(feed.Hub{VM: d.Settings.ID(), Zone: d.Settings.Zone}, targets, now)
 	d.restore(now)
 	listen := func(address string) (net.Listener, error) {
 		l, err := net.Listen("tcp", address)
@@ -156,6 +168,12 @@
 		return err
 	}
 	defer calls.Close()
+	var metrics net.Listener
+	if d.Settings.Metrics.IsValid() {
+		if metrics, err = listen(d.Settings.Metrics.String()); err != nil {
+			return err
+		}
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	d.transport = &replication.Transport{
 		Self:     self,
@@ -172,6 +190,10 @@
 	group.Go(func() error { return d.runCache(ctx) })
 	group.Go(func() error { return d.followHubs(ctx) })
 	group.Go(func() error { return d.serve(ctx, calls) })
+	group.Go(func() error {
+		all := append(d.Collectors, &collector{d}, &replication.Collector{Loop: d.replica})
+		return logging.ServeMetrics(ctx, metrics, all...)
+	})
 	err = group.Wait()
 	d.Log.Info("hub stopped", zap.Error(err))
 	return err
@@ -196,7 +218,7 @@
 func (d *Daemon) runOnce(ctx context.Context) error {
 	l := &log{machine: &catalog.Machine{
 		Parse:   d.Parse,
-		Changed: d.board.SetCatalog,
+		Changed: d.catalogChanged,
 		Failed:  func(err error) { d.Log.Error("entry of the log can't be read", zap.Error(err)) },
 	}}
 	r, err := d.openReplica(l.machine, time.Now())
@@ -253,9 +275,20 @@
 	d.board.SetHubs(ids, r.Leader() != "")
 	if role := r.Role(); role != d.role {
 		d.role = role
-		d.Log.Info("replica changed its role", zap.String("Role", role), zap.String("Leader", string(r.Leader())),
+		d.Log.Info("replica changed its role", zap.String(logging.Role, role), zap.String("Leader", string(r.Leader())),
 			zap.Uint64("Term", uint64(r.Stats().Term)))
 	}
+	if !slices.Equal(ids, d.members) {
+		d.members = ids
+		d.Log.Info("hubs of the log changed", zap.Any("Hubs", ids))
+	}
+}
+
+// catalogChanged runs in the replica's goroutine when a catalog comes into
+// force.
+func (d *Daemon) catalogChanged(c *catalog.Catalog) {
+	d.Log.Info("catalog committed", zap.Uint64(logging.Number, uint64(c.Number)), zap.Int("Routes", len(c.Routes)))
+	d.board.SetCatalog(c)
 }
 
 func (d *Daemon) deliver(ctx context.Context, from fleet.VMID, m replica.Message) {
@@ -281,7 +314,7 @@
 }
 
 func (d *Daemon) serve(ctx context.Context, l net.Listener) error {
-	server := &http.Server{Handler: d.Handler(d), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{Handler: d.Handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 	stopped := make(chan struct{})
 	context.AfterFunc(ctx, func() {
 		defer close(stopped)
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -93,9 +93,10 @@
 			Feed: h.ports[1], Replication: h.ports[2], Data: h.data(i), First: first,
 			AnnounceInterval: time.Second,
 		},
-		Parse:   parse,
-		Handler: func(*Daemon) http.Handler { return http.NotFoundHandler() },
-		Log:     zap.NewNop(),
+		Parse:        parse,
+		Handler:      http.NotFoundHandler(),
+		Log:          zap.NewNop(),
+		LinesDropped: func() uint64 { return 0 },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- /dev/null
+++ b/internal/hub/observe.go
@@ -0,0 +1,91 @@
+package hub
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"bamboowalk.org/bamboowalk/internal/logging"
+	"bamboowalk.org/bamboowalk/internal/replication"
+	"bamboowalk.org/bamboowalk/pkg/registry"
+)
+
+var (
+	targetsDesc     = newDesc("registered_targets", "Targets, by their state.", "state")
+	subscribersDesc = newDesc("feed_subscribers", "Connections of entry VMs and of other hubs.", "role")
+	publishedDesc   = newDesc("published_number", "Number of the catalog that this hub publishes.")
+	currentDesc     = newDesc("hub_current", "1 while this hub is in contact with a majority of the hubs.")
+	hubsDesc        = newDesc("hubs", "Hubs that the log names.")
+	sharedDesc      = newDesc("shared_doubts", "Targets that do not answer several entry VMs.")
+	unsavedDesc     = newDesc("failed_saves_total", "Failed writes of the published state.")
+	leftOutDesc     = newDesc("hub_log_lines_left_out_total", "Log lines of a hub left out because of their number.")
+	droppedDesc     = newDesc("hub_log_lines_dropped_total", "Log lines of a hub lost because the output was not read.")
+)
+
+// Descriptions returns the descriptions of the metrics of a hub.
+func Descriptions() []*prometheus.Desc {
+	return []*prometheus.Desc{
+		targetsDesc, subscribersDesc, publishedDesc, currentDesc, hubsDesc, sharedDesc, unsavedDesc, leftOutDesc, droppedDesc,
+	}
+}
+
+func newDesc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("bamboowalk_"+name, help, labels, nil)
+}
+
+// targetChanged writes a line for each change of a target. It is called with the
+// board's lock held.
+func (d *Daemon) targetChanged(rec *registry.Record, c registry.Cause) {
+	ok, leftOut := d.limiter.Allow(string(c), time.Now())
+	if !ok {
+		return
+	}
+	d.Log.Info("target changed", zap.Stringer(logging.Target, rec.Target.ID), zap.String(logging.Cause, string(c)),
+		zap.String(logging.State, string(rec.Target.State)), zap.Uint64(logging.Sequence, uint64(rec.Sequence)),
+		zap.Int64("Born", rec.Born), zap.Duration("Heard", rec.Age), zap.Uint64(logging.LeftOut, leftOut))
+}
+
+// collector reads the counters of a hub at each scrape.
+type collector struct{ d *Daemon }
+
+var _ prometheus.Collector = (*collector)(nil)
+
+// Describe sends no descriptions, since the collector is unchecked.
+func (*collector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect sends the present values.
+func (c *collector) Collect(ch chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	counter := func(d *prometheus.Desc, v uint64) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v))
+	}
+	s := c.d.board.Stats()
+	for state, n := range s.Targets {
+		gauge(targetsDesc, float64(n), string(state))
+	}
+	for role, n := range s.Subscribers {
+		gauge(subscribersDesc, float64(n), string(role))
+	}
+	current := 0.0
+	if s.Current {
+		current = 1
+	}
+	gauge(publishedDesc, float64(s.Number))
+	gauge(currentDesc, current)
+	gauge(hubsDesc, float64(s.Hubs))
+	gauge(sharedDesc, float64(s.Shared))
+	counter(unsavedDesc, c.d.unsaved.Load())
+	counter(leftOutDesc, c.d.limiter.LeftOut())
+	counter(droppedDesc, c.d.LinesDropped())
+}
+
+// replica returns the running loop, or nil.
+func (d *Daemon) replica() *replication.Loop {
+	if l := d.log.Load(); l != nil {
+		return &l.Loop
+	}
+	return nil
+}
--- a/internal/hub/settings.go
+++ b/internal/hub/settings.go
@@ -15,7 +15,9 @@
 type Settings struct {
 	// HTTP is the address of the HTTP interface and the name of the hub.
 	HTTP netip.AddrPort
-	Zone fleet.ZoneID
+	// Metrics serves metrics; it may be unset.
+	Metrics netip.AddrPort
+	Zone    fleet.ZoneID
 	// Seeds are the HTTP addresses of some hubs.
 	Seeds []netip.AddrPort
 	// Feed and Replication are the ports of the feed and of the replicas'
--- a/pkg/registry/record.go
+++ b/pkg/registry/record.go
@@ -47,6 +47,14 @@
 // Gone reports whether the target has ended.
 func (r *Record) Gone() bool { return r.Target.State == fleet.TargetGone }
 
+// State returns the state of the target, or StateSilent where it is not heard.
+func (r *Record) State() fleet.TargetState {
+	if r.Silent {
+		return StateSilent
+	}
+	return r.Target.State
+}
+
 // newerThan reports whether r tells later news of the same target than o.
 func (r *Record) newerThan(o *Record) bool {
 	if r.Born != o.Born {
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -17,7 +17,22 @@
 	maxPause = time.Second
 )
 
+// Causes of a change.
+const (
+	CauseNew       Cause = "New"       // the target was not known
+	CauseRestarted Cause = "Restarted" // the target has started again under its id
+	CauseState     Cause = "State"     // the target says that its state has changed
+	CauseHeard     Cause = "Heard"     // the target was silent and is heard again
+	CauseSilent    Cause = "Silent"    // the target has not been heard for too long
+	CauseReplaced  Cause = "Replaced"  // another target has taken over its address
+	CauseLeft      Cause = "Left"      // the target says that it has ended
+	CauseGone      Cause = "Gone"      // another VM says that the target has ended
+)
+
 type (
+	// Cause is the reason of a change, from a bounded set.
+	Cause string
+
 	// Registry is the list of targets as one VM knows it. One goroutine uses
 	// it.
 	//
@@ -27,6 +42,8 @@
 		// SilenceLimit is the time without an announcement after which a target
 		// is marked as silent.
 		SilenceLimit time.Duration
+		// Observe, if set, is called with each change of a target.
+		Observe func(rec *Record, c Cause)
 
 		entries map[fleet.Incarnation]*entry
 		owners  map[netip.AddrPort]*entry
@@ -68,6 +85,19 @@
 // Len returns the number of targets that are not gone.
 func (r *Registry) Len() int { return len(r.owners) }
 
+// StateSilent stands for targets that are not heard, in counts.
+const StateSilent fleet.TargetState = "Silent"
+
+// States counts the targets by their states, with those that are not heard
+// apart.
+func (r *Registry) States() map[fleet.TargetState]int {
+	states := map[fleet.TargetState]int{fleet.TargetReady: 0, fleet.TargetDraining: 0, fleet.TargetGone: 0, StateSilent: 0}
+	for _, e := range r.entries {
+		states[e.record.State()]++
+	}
+	return states
+}
+
 // Merge takes a record, be it an announcement or another VM's record, and
 // reports whether it was news. It returns a fleet.FieldError for an invalid
 // record.
@@ -80,27 +110,49 @@
 	if e != nil && !rec.newerThan(&e.record) {
 		return false, nil
 	}
+	cause := CauseNew
 	if e == nil {
 		if rec.Gone() && rec.Age > GoneRetention {
 			return false, nil
 		}
 		e = new(entry)
 		r.entries[rec.Target.ID.Incarnation] = e
-	} else if r.owners[e.record.Target.ID.Address] == e {
-		delete(r.owners, e.record.Target.ID.Address)
+	} else {
+		cause = e.cause(&rec)
+		r.release(e)
 	}
 	r.version++
 	e.touched = r.version
-	if !e.equal(&rec) {
-		e.changed, r.changed = r.version, r.version
-	}
+	changed := !e.equal(&rec)
 	e.record, e.heard = rec, heard
 	e.warm = now.Add(rec.Warmup)
 	e.record.Silent = !rec.Gone() && now.Sub(heard) > r.SilenceLimit
+	if changed {
+		r.mark(e, cause)
+	}
 	r.claim(e, now)
 	return true, nil
 }
 
+// cause returns what a newer record of the target tells.
+func (e *entry) cause(rec *Record) Cause {
+	switch {
+	case rec.Born != e.record.Born:
+		return CauseRestarted
+	case rec.Gone():
+		return CauseGone
+	case rec.Target.State != e.record.Target.State:
+		return CauseState
+	}
+	return CauseHeard
+}
+
+func (r *Registry) release(e *entry) {
+	if r.owners[e.record.Target.ID.Address] == e {
+		delete(r.owners, e.record.Target.ID.Address)
+	}
+}
+
 // equal reports whether a new record differs from the entry in nothing that
 // matters for forwarding.
 func (e *entry) equal(rec *Record) bool {
@@ -119,30 +171,31 @@
 	}
 	other := r.owners[address]
 	if other != nil && other.record.Born > e.record.Born {
-		r.end(e, now)
+		r.end(e, CauseReplaced, now)
 		return
 	}
 	if other != nil {
-		r.end(other, now)
+		r.end(other, CauseReplaced, now)
 	}
 	e.ended = time.Time{}
 	r.owners[address] = e
 }
 
-func (r *Registry) end(e *entry, now time.Time) {
-	if r.owners[e.record.Target.ID.Address] == e {
-		delete(r.owners, e.record.Target.ID.Address)
-	}
+func (r *Registry) end(e *entry, c Cause, now time.Time) {
+	r.release(e)
 	r.version++
 	e.record.Target.State = fleet.TargetGone
 	e.record.Silent = false
 	e.ended = now
-	r.mark(e)
+	r.mark(e, c)
 }
 
 // mark notes that the entry has changed in the present version.
-func (r *Registry) mark(e *entry) {
+func (r *Registry) mark(e *entry, c Cause) {
 	e.changed, e.touched, r.changed = r.version, r.version, r.version
+	if r.Observe != nil {
+		r.Observe(&e.record, c)
+	}
 }
 
 // Leave ends a target that says that it has stopped, and reports whether it
@@ -152,7 +205,7 @@
 	if e == nil || e.record.Gone() {
 		return false
 	}
-	r.end(e, now)
+	r.end(e, CauseLeft, now)
 	return true
 }
 
@@ -170,7 +223,7 @@
 		case !e.record.Gone() && !e.record.Silent && now.Sub(e.heard) > r.SilenceLimit:
 			r.version++
 			e.record.Silent = true
-			r.mark(e)
+			r.mark(e, CauseSilent)
 		}
 	}
 }
--- a/pkg/steering/core.go
+++ b/pkg/steering/core.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"bamboowalk.org/bamboowalk/pkg/catalog"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
@@ -32,6 +33,12 @@
 	CauseTargetGone    Cause = "TargetGone"    // the target of the flow has ended
 )
 
+// Causes lists all causes.
+var Causes = []Cause{
+	CauseOpened, CauseCopy, CauseFlow, CauseCookie, CauseNoCatalog, CauseNoRoute, CauseNoTarget, CauseNoCookie,
+	CauseUnknownCookie, CauseTargetGone,
+}
+
 const (
 	// unopenedLifetime is how long an opening packet counts as load without a
 	// sign of the caller: callers give up 1.4 s after the first packet.
@@ -74,11 +81,46 @@
 		Acknowledged uint32
 	}
 
-	// Decision is what happens with a packet. Target is set for Forward.
+	// Decision is what happens with a packet, and what it was decided by.
 	Decision struct {
-		Op     Op
-		Cause  Cause
+		Op    Op
+		Cause Cause
+		// Target is set for Forward.
 		Target *Target
+		// Number is that of the catalog.
+		Number catalog.Number
+		// Running is the number of this VM's other requests at Target, and Former
+		// the target of an earlier copy. Both are set for opening packets.
+		Running int
+		Former  *Target
+	}
+
+	// Observer is told what becomes of the flows that this VM has seen the start
+	// of. Its methods must not block and must not call the core.
+	Observer interface {
+		// TargetDoubted is called with each target that begins not to answer.
+		TargetDoubted(t *Target)
+		// FlowOpened is called when a caller acknowledges the answer of a target.
+		FlowOpened(k FlowKey, e FlowEvent)
+		// FlowEnded is called when the caller ends a flow, and when its time is
+		// over.
+		FlowEnded(k FlowKey, e FlowEvent)
+	}
+
+	// FlowEvent describes a flow at a moment of its life.
+	FlowEvent struct {
+		// Target is the flow's target. Former is set where another one was chosen
+		// last, whose answer the caller did not acknowledge. Either is nil where
+		// the view does not have it.
+		Target, Former *Target
+		// Kind and Objective are those of the flow's route.
+		Kind      fleet.KindName
+		Objective time.Duration
+		// Opened is set once a target has answered, and Closed where the caller
+		// has ended the flow.
+		Opened, Closed bool
+		// After is the time since the opening packet.
+		After time.Duration
 	}
 
 	// Stats counts decisions by cause, and gives the size of the flow table.
@@ -97,9 +139,8 @@
 		Zone fleet.ZoneID
 		// Random spreads flows over targets.
 		Random *rand.Rand
-		// Doubted, if set, is called with each target that begins not to answer.
-		// It must not block and must not call the core.
-		Doubted func(t *Target)
+		// Observer may be nil.
+		Observer Observer
 
 		mu    sync.Mutex
 		view  *View
@@ -116,13 +157,19 @@
 		target   Cookie
 		opened   bool
 		ended    bool
+		route    *catalog.Route
 		deadline time.Time
-		started  time.Time
-		// acknowledged is the caller's last acknowledgement number.
-		acknowledged uint32
+		// started is the time of the first opening packet, and sent that of the
+		// last one.
+		started, sent time.Time
 	}
 )
 
+// Hash returns the flow's hash, which is equal on all VMs.
+func (k FlowKey) Hash() fleet.FlowHash {
+	return fleet.FlowKey{Caller: k.Caller, VIP: k.Route, Protocol: fleet.TCP}.Hash()
+}
+
 // New returns a core without a view.
 func New(zone fleet.ZoneID, random *rand.Rand) *Core {
 	return &Core{
@@ -155,7 +202,10 @@
 	case p.Opening:
 		d = c.open(p, now)
 	default:
-		d = c.follow(p)
+		d = c.follow(p, now)
+	}
+	if c.view != nil && c.view.Catalog != nil {
+		d.Number = c.view.Catalog.Number
 	}
 	c.stats[d.Cause]++
 	return d
@@ -173,36 +223,40 @@
 			return Decision{Op: Forward, Cause: CauseFlow, Target: t}
 		}
 	}
-	var avoid Cookie
-	cause := CauseOpened
+	d := Decision{Op: Forward, Cause: CauseOpened}
+	avoid := Cookie(0)
+	started := now
 	if f != nil && !f.ended {
-		avoid, cause = f.target, CauseCopy
+		d.Cause, d.Former = CauseCopy, c.view.targets[f.target]
+		avoid, started = f.target, f.started
 		c.unanswered(f)
-		c.end(f)
+		c.loadOf(f.target).running--
 	}
-	t := c.choose(r, avoid, now)
-	if t == nil {
+	d.Target = c.choose(r, avoid, now)
+	if d.Target == nil {
+		delete(c.flows, p.Flow)
 		return Decision{Op: Reset, Cause: CauseNoTarget}
 	}
+	l := c.loadOf(d.Target.Cookie)
+	d.Running = l.running
 	if len(c.flows) < maxFlows || f != nil {
-		c.flows[p.Flow] = &flow{target: t.Cookie, started: now, deadline: now.Add(r.Deadline + deadlineMargin)}
-		c.loadOf(t.Cookie).running++
+		c.flows[p.Flow] = &flow{target: d.Target.Cookie, route: r.Route, started: started, sent: now, deadline: now.Add(r.Deadline + deadlineMargin)}
+		l.running++
 	}
-	return Decision{Op: Forward, Cause: cause, Target: t}
+	return d
 }
 
 // follow decides about a packet of a flow that a target may have opened.
-func (c *Core) follow(p *Packet) Decision {
+func (c *Core) follow(p *Packet, now time.Time) Decision {
 	f := c.flows[p.Flow]
 	if f == nil {
 		return c.byCookie(p.Cookie)
 	}
 	if !f.opened && p.Cookie != 0 {
-		c.opened(f, p.Cookie)
+		c.opened(p.Flow, f, p.Cookie, now)
 	}
-	f.acknowledged = p.Acknowledged
 	if p.End {
-		c.end(f)
+		c.end(p.Flow, f, true, now)
 	}
 	t := c.view.targets[f.target]
 	if t == nil || t.State == fleet.TargetGone {
@@ -212,22 +266,50 @@
 }
 
 // opened binds a flow to the target whose answer the caller has acknowledged.
-func (c *Core) opened(f *flow, k Cookie) {
+func (c *Core) opened(key FlowKey, f *flow, k Cookie, now time.Time) {
+	e := c.event(f, now)
 	f.opened = true
-	if k != f.target && !f.ended {
-		c.loadOf(f.target).running--
-		c.loadOf(k).running++
+	if k != f.target {
+		e.Former = e.Target
+		if !f.ended {
+			c.loadOf(f.target).running--
+			c.loadOf(k).running++
+		}
+		f.target = k
+	}
+	c.loadOf(k).answer(f.sent)
+	if c.Observer != nil {
+		e.Target, e.Opened = c.view.targets[k], true
+		c.Observer.FlowOpened(key, e)
 	}
-	f.target = k
-	c.loadOf(k).answer(f.started)
 }
 
-func (c *Core) end(f *flow) {
+func (c *Core) end(key FlowKey, f *flow, closed bool, now time.Time) {
 	if f.ended {
 		return
 	}
 	f.ended = true
 	c.loadOf(f.target).running--
+	if c.Observer != nil {
+		e := c.event(f, now)
+		e.Closed = closed
+		c.Observer.FlowEnded(key, e)
+	}
+}
+
+func (c *Core) event(f *flow, now time.Time) FlowEvent {
+	return FlowEvent{
+		Target: c.target(f.target), Kind: f.route.Kind, Objective: f.route.Objective,
+		Opened: f.opened, After: now.Sub(f.started),
+	}
+}
+
+// target returns the target with a cookie, or nil.
+func (c *Core) target(k Cookie) *Target {
+	if c.view == nil {
+		return nil
+	}
+	return c.view.targets[k]
 }
 
 func (c *Core) byCookie(k Cookie) Decision {
@@ -250,11 +332,11 @@
 	c.swept = now
 	for k, f := range c.flows {
 		over := now.After(f.deadline)
-		if !f.opened && now.Sub(f.started) > unopenedLifetime {
+		if !f.opened && now.Sub(f.sent) > unopenedLifetime {
 			over = true
 		}
 		if over {
-			c.end(f)
+			c.end(k, f, false, now)
 			delete(c.flows, k)
 		}
 	}
--- a/pkg/steering/core_test.go
+++ b/pkg/steering/core_test.go
@@ -48,15 +48,22 @@
 	records []registry.Record
 	now     time.Time
 	doubted []fleet.Incarnation
+	events  []FlowEvent
 }
 
 func newScene(t *testing.T, records ...registry.Record) *scene {
 	s := &scene{T: t, core: New("z0", rand.New(rand.NewPCG(1, 1))), records: records, now: start}
-	s.core.Doubted = func(t *Target) { s.doubted = append(s.doubted, t.ID.Incarnation) }
+	s.core.Observer = s
 	s.update()
 	return s
 }
 
+func (s *scene) TargetDoubted(t *Target) { s.doubted = append(s.doubted, t.ID.Incarnation) }
+
+func (s *scene) FlowOpened(k FlowKey, e FlowEvent) { s.events = append(s.events, e) }
+
+func (s *scene) FlowEnded(k FlowKey, e FlowEvent) { s.events = append(s.events, e) }
+
 func (s *scene) update() { s.core.SetView(NewView(testCatalog(), s.records, s.now)) }
 
 func flowOf(n int) FlowKey {
@@ -227,7 +234,7 @@
 		}
 	}
 	s.send(flowOf(100), 1, 1)
-	s.core.flows[flowOf(101)] = &flow{target: 1, started: s.now}
+	s.core.flows[flowOf(101)] = &flow{target: 1, sent: s.now, started: s.now, route: &catalog.Route{}}
 	s.send(flowOf(101), 1, 1)
 	if got := s.open(flowOf(102), 0); got != 1 {
 		t.Errorf("target that has just answered: got target %d, want 1", got)
@@ -326,3 +333,27 @@
 		t.Errorf("flows of a share of 10 %%: got %d of 2000, want about 200", got[2])
 	}
 }
+
+// Guards against logs and histograms that tell another story than the packets.
+func TestEvents(t *testing.T) {
+	s := newScene(t, target(1, "counter", "z0"), target(2, "counter", "z0"))
+	first := CookieOf(s.open(flowOf(1), 0))
+	s.now = s.now.Add(200 * time.Millisecond)
+	second := CookieOf(s.open(flowOf(1), 1))
+	s.now = s.now.Add(10 * time.Millisecond)
+	s.core.Decide(&Packet{Flow: flowOf(1), Cookie: first}, s.now)
+	s.now = s.now.Add(40 * time.Millisecond)
+	s.core.Decide(&Packet{Flow: flowOf(1), Cookie: first, End: true}, s.now)
+	third := CookieOf(s.open(flowOf(2), 0))
+	s.now = s.now.Add(unopenedLifetime + sweepInterval)
+	s.core.Decide(&Packet{Flow: flowOf(3), Cookie: first}, s.now)
+	at := func(k Cookie) *Target { return s.core.view.targets[k] }
+	want := []FlowEvent{
+		{Target: at(first), Former: at(second), Opened: true, After: 210 * time.Millisecond},
+		{Target: at(first), Opened: true, Closed: true, After: 250 * time.Millisecond},
+		{Target: at(third), After: unopenedLifetime + sweepInterval},
+	}
+	if fmt.Sprint(s.events) != fmt.Sprint(want) {
+		t.Errorf("got %+v, want %+v", s.events, want)
+	}
+}
--- a/pkg/steering/doubt.go
+++ b/pkg/steering/doubt.go
@@ -15,7 +15,8 @@
 	running int
 	// doubted is set while the target does not answer this VM.
 	doubted bool
-	// answered is the start of the newest flow that the target has opened.
+	// answered is the time of the newest opening packet that the target has
+	// answered.
 	answered time.Time
 }
 
@@ -29,9 +30,9 @@
 }
 
 // answer notes that the target has opened a flow.
-func (l *load) answer(started time.Time) {
-	if started.After(l.answered) {
-		l.answered = started
+func (l *load) answer(sent time.Time) {
+	if sent.After(l.answered) {
+		l.answered = sent
 	}
 	l.doubted = false
 }
@@ -40,12 +41,12 @@
 // does not answer, unless it has answered a later one.
 func (c *Core) unanswered(f *flow) {
 	l := c.loadOf(f.target)
-	if l.doubted || l.answered.After(f.started) {
+	if l.doubted || l.answered.After(f.sent) {
 		return
 	}
 	l.doubted = true
-	if t := c.view.targets[f.target]; t != nil && c.Doubted != nil {
-		c.Doubted(t)
+	if t := c.view.targets[f.target]; t != nil && c.Observer != nil {
+		c.Observer.TargetDoubted(t)
 	}
 }
 
--- a/pkg/steering/view.go
+++ b/pkg/steering/view.go
@@ -23,6 +23,8 @@
 		// WarmAt is the time from which the target works at full speed.
 		WarmAt time.Time
 		Silent bool
+		// Sequence is that of the announcement by which the target is known.
+		Sequence registry.Sequence
 	}
 
 	// route is a route with its targets.
@@ -71,7 +73,7 @@
 			Target: rec.Target,
 			Cookie: CookieOf(rec.Target.ID.Incarnation),
 			WarmAt: now.Add(rec.Warmup),
-			Silent: rec.Silent,
+			Silent: rec.Silent, Sequence: rec.Sequence,
 		}
 		known := v.targets[t.Cookie]
 		if known == nil || t.ID.Incarnation < known.ID.Incarnation {
