Tell the story of one flow from the logs of all processes

bamboowalk explain ID reads log lines of any number of processes and prints the flow's lines with what the VMs involved believed of its target, catalog and hub, in the order of time, and names the gaps.

--- a/cmd/bamboowalk/main.go
+++ b/cmd/bamboowalk/main.go
@@ -10,6 +10,7 @@
 	"github.com/alecthomas/kong"
 
 	"bamboowalk.org/bamboowalk/internal/control"
+	"bamboowalk.org/bamboowalk/internal/explain"
 	"bamboowalk.org/bamboowalk/internal/load"
 	"bamboowalk.org/bamboowalk/internal/operator"
 )
@@ -25,6 +26,7 @@
 		Status   operator.StatusCommand   `cmd:"" help:"Print one screen about all VMs."`
 		Timeline operator.TimelineCommand `cmd:"" help:"Gather the events of all processes in causal order."`
 		Load     load.Command             `cmd:"" help:"Run experiments in virtual time and compare results."`
+		Explain  explain.Command          `cmd:"" help:"Print what the logs of all processes tell about one flow."`
 		Demo     demoCommand              `cmd:"" help:"Run entry VMs, callers and targets in one process and check the guarantees."`
 		Version  versionCommand           `cmd:"" help:"Print the version."`
 	}
--- /dev/null
+++ b/internal/explain/command.go
@@ -0,0 +1,52 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"os"
+)
+
+// Command prints what the logs of all processes tell about one flow.
+type Command struct {
+	ID    string   `arg:"" help:"Id of the flow, or the caller's address and port."`
+	Files []string `arg:"" optional:"" type:"existingfile" help:"Files with log lines; left out, standard input."`
+}
+
+// Run prints the story. It returns a ReadError or a NoFlowError.
+func (c *Command) Run() error {
+	var lines []Line
+	take := func(l Line) { lines = append(lines, l) }
+	skipped := 0
+	read := func(r io.Reader) error {
+		n, err := Read(r, take)
+		skipped += n
+		return err
+	}
+	if len(c.Files) == 0 {
+		if err := read(os.Stdin); err != nil {
+			return err
+		}
+	}
+	for _, name := range c.Files {
+		if err := readFile(name, read); err != nil {
+			return err
+		}
+	}
+	if skipped > 0 {
+		fmt.Fprintf(os.Stderr, "%d lines are no log lines\n", skipped)
+	}
+	story, err := Tell(lines, c.ID)
+	if err != nil {
+		return err
+	}
+	return story.Print(os.Stdout, c.ID)
+}
+
+func readFile(name string, read func(io.Reader) error) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return &ReadError{Err: err}
+	}
+	defer f.Close()
+	return read(f)
+}
