Refuse the least urgent work while its service is slow

Change: a VM averages the time of its requests in parts of their objective. Once that is above a half for a second and the VM has its share of the service's slots in use (hubs tell the number of entry VMs), it resets new flows of the least urgent work that is asked for. Flows with several requests turn it off.

--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -35,6 +35,8 @@
 	doubts    doubts
 	// subscribers counts the connections.
 	subscribers map[Role]int
+	// entries holds the number of entry VMs of each connected hub.
+	entries map[fleet.VMID]int
 }
 
 // cursor is what a subscriber has been told.
@@ -62,6 +64,7 @@
 		acked:       make(chan struct{}),
 		doubts:      newDoubts(),
 		subscribers: map[Role]int{Entry: 0, Control: 0},
+		entries:     make(map[fleet.VMID]int),
 	}
 }
 
@@ -165,6 +168,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.doubts.hubs[from] = u.Doubts
+	b.entries[from] = u.Entries
 	b.sumDoubts()
 	// A hub that has lost its disk gets the catalog here before the log.
 	if u.Catalog != nil && u.Catalog.To > b.catalog.Number() {
@@ -296,10 +300,14 @@
 
 // addDoubts adds the doubts that a subscriber needs.
 func (b *Board) addDoubts(u *Update, c *cursor) {
+	u.Entries = b.subscribers[Entry]
 	if c.role == Control {
 		u.Doubts = b.doubts.own
 		return
 	}
+	for _, n := range b.entries {
+		u.Entries += n
+	}
 	u.Shared = b.doubts.shared
 }
 
--- a/internal/feed/doubts.go
+++ b/internal/feed/doubts.go
@@ -94,5 +94,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.doubts.hubs, hub)
+	delete(b.entries, hub)
 	b.sumDoubts()
 }
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -67,6 +67,9 @@
 		// Shared lists the targets that do not answer several entry VMs, for
 		// entry VMs.
 		Shared []fleet.Incarnation `cbor:"9,keyasint,omitempty"`
+		// Entries is the number of the publisher's entry VMs, for hubs, and of all
+		// entry VMs, for entry VMs.
+		Entries int `cbor:"10,keyasint,omitempty"`
 	}
 
 	// Hub is a control VM; Zone is empty where it is not known.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -239,6 +239,7 @@
 		}
 		if err == nil {
 			f.Core.SetShared(u.Shared)
+			f.Core.SetEntries(u.Entries)
 			err = f.acknowledge(s, u.Version)
 		}
 		if err == nil {
--- a/pkg/steering/choose.go
+++ b/pkg/steering/choose.go
@@ -25,8 +25,7 @@
 // the one at which this VM has the fewest requests a slot. What other VMs have
 // there is not known in time: reports are older than requests last, and VMs
 // that follow them all move to the same target at once.
-func (c *Core) choose(r *route, avoid Cookie, now time.Time) *Target {
-	s := r.pick(c.Random.Uint64())
+func (c *Core) choose(s *service, avoid Cookie, now time.Time) *Target {
 	var best *Target
 	least, ties := 0.0, 0
 	for _, t := range s.targets {
--- a/pkg/steering/core.go
+++ b/pkg/steering/core.go
@@ -31,12 +31,13 @@
 	CauseNoCookie      Cause = "NoCookie"      // the packet of an unknown flow has no cookie
 	CauseUnknownCookie Cause = "UnknownCookie" // no target has the cookie
 	CauseTargetGone    Cause = "TargetGone"    // the target of the flow has ended
+	CauseOverload      Cause = "Overload"      // the service is too slow for its less urgent requests
 )
 
 // Causes lists all causes.
 var Causes = []Cause{
 	CauseOpened, CauseCopy, CauseFlow, CauseCookie, CauseNoCatalog, CauseNoRoute, CauseNoTarget, CauseNoCookie,
-	CauseUnknownCookie, CauseTargetGone,
+	CauseUnknownCookie, CauseTargetGone, CauseOverload,
 }
 
 const (
@@ -77,8 +78,10 @@
 		// End is set for a packet that ends the caller's direction of the flow.
 		End    bool
 		Cookie Cookie
-		// Acknowledged is the caller's acknowledgement number.
+		// Acknowledged is the caller's acknowledgement number, and Data the number
+		// of bytes that the packet carries.
 		Acknowledged uint32
+		Data         int
 	}
 
 	// Decision is what happens with a packet, and what it was decided by.
@@ -146,6 +149,10 @@
 		view  *View
 		flows map[FlowKey]*flow
 		loads map[Cookie]*load
+		// pressures holds the load of the services, and entries the number of
+		// entry VMs.
+		pressures map[fleet.ServiceID]*pressure
+		entries   int
 		// shared holds the targets that do not answer several VMs.
 		shared map[Cookie]bool
 		swept  time.Time
@@ -155,6 +162,7 @@
 	// flow is a flow that this VM has seen the start of.
 	flow struct {
 		target   Cookie
+		service  fleet.ServiceID
 		opened   bool
 		ended    bool
 		route    *catalog.Route
@@ -162,6 +170,11 @@
 		// started is the time of the first opening packet, and sent that of the
 		// last one.
 		started, sent time.Time
+		// asked is set once the caller has sent data, with its acknowledgement
+		// number at that moment; kept is set where it sends another request.
+		asked   bool
+		askedAt uint32
+		kept    bool
 	}
 )
 
@@ -173,11 +186,12 @@
 // New returns a core without a view.
 func New(zone fleet.ZoneID, random *rand.Rand) *Core {
 	return &Core{
-		Zone:   zone,
-		Random: random,
-		flows:  make(map[FlowKey]*flow),
-		loads:  make(map[Cookie]*load),
-		stats:  make(map[Cause]uint64),
+		Zone:      zone,
+		Random:    random,
+		flows:     make(map[FlowKey]*flow),
+		loads:     make(map[Cookie]*load),
+		pressures: make(map[fleet.ServiceID]*pressure),
+		stats:     make(map[Cause]uint64),
 	}
 }
 
@@ -223,6 +237,11 @@
 			return Decision{Op: Forward, Cause: CauseFlow, Target: t}
 		}
 	}
+	s := r.pick(c.Random.Uint64())
+	pressure := c.pressureOf(s.ID)
+	if f == nil && pressure.refuses(r.Urgency, s.slots, c.entries, now) {
+		return Decision{Op: Reset, Cause: CauseOverload}
+	}
 	d := Decision{Op: Forward, Cause: CauseOpened}
 	avoid := Cookie(0)
 	started := now
@@ -231,8 +250,9 @@
 		avoid, started = f.target, f.started
 		c.unanswered(f)
 		c.loadOf(f.target).running--
+		c.pressureOf(f.service).running--
 	}
-	d.Target = c.choose(r, avoid, now)
+	d.Target = c.choose(s, avoid, now)
 	if d.Target == nil {
 		delete(c.flows, p.Flow)
 		return Decision{Op: Reset, Cause: CauseNoTarget}
@@ -240,8 +260,9 @@
 	l := c.loadOf(d.Target.Cookie)
 	d.Running = l.running
 	if len(c.flows) < maxFlows || f != nil {
-		c.flows[p.Flow] = &flow{target: d.Target.Cookie, route: r.Route, started: started, sent: now, deadline: now.Add(r.Deadline + deadlineMargin)}
+		c.flows[p.Flow] = &flow{target: d.Target.Cookie, service: s.ID, route: r.Route, started: started, sent: now, deadline: now.Add(r.Deadline + deadlineMargin)}
 		l.running++
+		pressure.running++
 	}
 	return d
 }
@@ -255,6 +276,7 @@
 	if !f.opened && p.Cookie != 0 {
 		c.opened(p.Flow, f, p.Cookie, now)
 	}
+	c.noteRequest(f, p, now)
 	if p.End {
 		c.end(p.Flow, f, true, now)
 	}
@@ -290,6 +312,11 @@
 	}
 	f.ended = true
 	c.loadOf(f.target).running--
+	pressure := c.pressureOf(f.service)
+	pressure.running--
+	if f.opened && closed && !f.kept {
+		pressure.sample(float64(now.Sub(f.sent))/float64(f.route.Objective), now)
+	}
 	if c.Observer != nil {
 		e := c.event(f, now)
 		e.Closed = closed
--- a/pkg/steering/view.go
+++ b/pkg/steering/view.go
@@ -39,6 +39,8 @@
 	service struct {
 		*catalog.Service
 		targets []*Target
+		// slots is the number of slots of the targets that take new flows.
+		slots int
 	}
 
 	// View is what an entry VM knows of the catalog and the targets. It is
@@ -90,6 +92,9 @@
 	for _, t := range v.targets {
 		if s := services[t.ID.Service]; s != nil && t.State != fleet.TargetGone {
 			s.targets = append(s.targets, t)
+			if t.TakesNewFlows() {
+				s.slots += t.Slots
+			}
 		}
 	}
 	for i := range c.Routes {
