Follow three kinds of failed request from their ids to their causes

Found by the new test TestExplainFailures, which plants a deaf target, a deaf service and a service without targets, and reads the logs as an operator would: flows without an answer were noticed only with the next packet (hubs' updates now look for them too), and a refusal did not name its service, so that the story lacked the targets that had left.

--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -24,7 +24,7 @@
 		Caller  string
 		Target  string
 		Former  string
-		Hub     string
+		Service string
 		LeftOut uint64
 		// Fields are all fields but the time, the level and the message.
 		Fields map[string]any
@@ -79,7 +79,7 @@
 	}
 	l.Time, l.Message = at, text("Message")
 	l.VM, l.Flow, l.Caller = text(logging.VM), text(logging.Flow), text(logging.Caller)
-	l.Target, l.Former, l.Hub = text(logging.Target), text(logging.Former), text(logging.Hub)
+	l.Target, l.Former, l.Service = text(logging.Target), text(logging.Former), text(logging.Service)
 	if n, ok := l.Fields[logging.LeftOut].(float64); ok {
 		l.LeftOut = uint64(n)
 	}
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -41,7 +41,7 @@
 	lines = slices.Clone(lines)
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	own := func(l *Line) bool { return l.Flow == id || l.Caller == id }
-	targets, vms := make(map[string]bool), make(map[string]bool)
+	targets, vms, unserved := make(map[string]bool), make(map[string]bool), make(map[string]bool)
 	var first, last time.Time
 	opened := false
 	for i := range lines {
@@ -59,6 +59,10 @@
 				targets[t] = true
 			}
 		}
+		// Where no target was chosen, those of the service matter.
+		if l.Target == "" && l.Service != "" {
+			unserved[l.Service] = true
+		}
 		opened = opened || l.Fields[logging.Copy] != nil
 	}
 	if first.IsZero() {
@@ -68,7 +72,8 @@
 	for i := range lines {
 		l := &lines[i]
 		near := l.Time.After(first.Add(-before)) && l.Time.Before(last.Add(after))
-		about := l.Flow == "" && (targets[l.Target] || vms[l.VM] && l.Target == "")
+		service, _, _ := strings.Cut(l.Target, "@")
+		about := l.Flow == "" && (targets[l.Target] || unserved[service] || vms[l.VM] && l.Target == "")
 		if own(l) || near && about {
 			s.Lines = append(s.Lines, *l)
 		}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -240,6 +240,7 @@
 		if err == nil {
 			f.Core.SetShared(u.Shared)
 			f.Core.SetEntries(u.Entries)
+			f.Core.Tick(now)
 			err = f.acknowledge(s, u.Version)
 		}
 		if err == nil {
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -69,7 +69,7 @@
 		zap.Uint64(logging.LeftOut, leftOut),
 	}
 	if p.Opening {
-		fields = append(fields, zap.Uint32(logging.Copy, p.Copy))
+		fields = append(fields, zap.Uint32(logging.Copy, p.Copy), zap.String(logging.Service, string(d.Service)))
 	}
 	if d.Former != nil {
 		fields = append(fields, target(logging.Former, d.Former))
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -7,6 +7,8 @@
 	VM     = "VM"
 	Flow   = "Flow"
 	Target = "Target"
+	// Service is the service of a new flow.
+	Service = "Service"
 	// Caller and Route are the addresses of a flow.
 	Caller = "Caller"
 	Route  = "Route"
--- a/pkg/steering/core.go
+++ b/pkg/steering/core.go
@@ -88,8 +88,9 @@
 	Decision struct {
 		Op    Op
 		Cause Cause
-		// Target is set for Forward.
-		Target *Target
+		// Target is set for Forward, and Service for opening packets on a route.
+		Target  *Target
+		Service fleet.ServiceID
 		// Number is that of the catalog.
 		Number catalog.Number
 		// Running is the number of this VM's other requests at Target, and Former
@@ -206,9 +207,7 @@
 func (c *Core) Decide(p *Packet, now time.Time) Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.swept) >= sweepInterval {
-		c.sweep(now)
-	}
+	c.sweep(now)
 	var d Decision
 	switch {
 	case c.view == nil || c.view.Catalog == nil:
@@ -240,9 +239,9 @@
 	s := r.pick(c.Random.Uint64())
 	pressure := c.pressureOf(s.ID)
 	if f == nil && pressure.refuses(r.Urgency, s.slots, c.entries, now) {
-		return Decision{Op: Reset, Cause: CauseOverload}
+		return Decision{Op: Reset, Cause: CauseOverload, Service: s.ID}
 	}
-	d := Decision{Op: Forward, Cause: CauseOpened}
+	d := Decision{Op: Forward, Cause: CauseOpened, Service: s.ID}
 	avoid := Cookie(0)
 	started := now
 	if f != nil && !f.ended {
@@ -255,7 +254,7 @@
 	d.Target = c.choose(s, avoid, now)
 	if d.Target == nil {
 		delete(c.flows, p.Flow)
-		return Decision{Op: Reset, Cause: CauseNoTarget}
+		return Decision{Op: Reset, Cause: CauseNoTarget, Service: s.ID}
 	}
 	l := c.loadOf(d.Target.Cookie)
 	d.Running = l.running
@@ -353,9 +352,19 @@
 	return Decision{Op: Forward, Cause: CauseCookie, Target: t}
 }
 
+// Tick forgets flows whose time is over; it is called while no packets come.
+func (c *Core) Tick(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sweep(now)
+}
+
 // sweep forgets flows whose time is over, and targets that no flow or view
-// names.
+// names, where it is time to look for them.
 func (c *Core) sweep(now time.Time) {
+	if now.Sub(c.swept) < sweepInterval {
+		return
+	}
 	c.swept = now
 	for k, f := range c.flows {
 		over := now.After(f.deadline)
