--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -114,6 +114,7 @@
 			t.Errorf("%s: got no metric", name)
 		}
 		for _, m := range used {
+			m = histogramOf(m, names)
 			if !slices.Contains(names, m) || !strings.Contains(page, "| `"+m+"` |") {
 				t.Errorf("%s: metric %s does not exist", name, m)
 			}
@@ -126,6 +127,16 @@
 	}
 }
 
+// histogramOf returns the histogram that a series belongs to, or the series.
+func histogramOf(series string, names []string) string {
+	for _, suffix := range []string{"_bucket", "_count", "_sum"} {
+		if name, ok := strings.CutSuffix(series, suffix); ok && slices.Contains(names, name) {
+			return name
+		}
+	}
+	return series
+}
+
 // Guards against an exported error type that the page lacks, and against one
 // of the page that no longer exists.
 func TestErrorsPage(t *testing.T) {
