Let feeds pass slow links, and bound the traffic about doubts

Both ends gave a message 1.2 s, so that VMs that had started anew never got the catalog ('no hub answers' 300 times in 2 s), and VMs that were left without a feed obeyed old versions. Besides, each doubt of each VM was told to all hubs and VMs at once and with every beat: 0.49 GB between zones.

--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -48,8 +48,7 @@
 	complete bool
 	current  bool
 	hubs     []Hub
-	doubts   []Doubt
-	shared   []fleet.Incarnation
+	pool     Pool
 }
 
 // NewBoard returns the board of hub self without a catalog.
@@ -167,9 +166,11 @@
 func (b *Board) Take(from fleet.VMID, u *Update, now time.Time) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.doubts.hubs[from] = u.Doubts
-	b.entries[from] = u.Entries
-	b.sumDoubts()
+	if u.Pool != nil {
+		b.entries[from] = u.Pool.Entries
+		b.doubts.hubs[from] = u.Pool.Doubts
+		b.doubts.dirty = true
+	}
 	// A hub that has lost its disk gets the catalog here before the log.
 	if u.Catalog != nil && u.Catalog.To > b.catalog.Number() {
 		c, err := b.catalog.Newest().Apply(u.Catalog)
@@ -196,10 +197,11 @@
 	return nil
 }
 
-// Tick marks silent targets.
+// Tick marks silent targets and adds up what entry VMs have reported.
 func (b *Board) Tick(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.sumDoubts()
 	before := b.targets.Changed()
 	b.targets.Tick(now)
 	complete := !now.Before(b.completeAt)
@@ -260,7 +262,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := &Update{Version: b.targets.Version(), Complete: b.complete, Current: b.current}
-	b.addDoubts(u, c)
+	pool := b.poolFor(c.role)
+	if !c.started || !pool.equal(&c.pool) {
+		u.Pool = &pool
+	}
 	since := c.version
 	if c.role == Control {
 		u.Records = b.targets.News(since, now)
@@ -279,11 +284,10 @@
 		u.Hubs = b.hubs
 	}
 	same := c.started && u.Catalog == nil && len(u.Records) == 0 && u.Hubs == nil &&
-		u.Complete == c.complete && u.Current == c.current &&
-		slices.Equal(u.Doubts, c.doubts) && slices.Equal(u.Shared, c.shared)
+		u.Complete == c.complete && u.Current == c.current && u.Pool == nil
 	c.started, c.version, c.hubs = true, u.Version, b.hubs
 	c.complete, c.current = u.Complete, u.Current
-	c.doubts, c.shared = u.Doubts, u.Shared
+	c.pool = pool
 	if same {
 		return nil
 	}
@@ -293,22 +297,25 @@
 func (b *Board) beat(c *cursor) *Update {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	u := &Update{Version: c.version, Complete: b.complete, Current: b.current}
-	b.addDoubts(u, c)
-	return u
+	return &Update{Version: c.version, Complete: b.complete, Current: b.current}
 }
 
-// addDoubts adds the doubts that a subscriber needs.
-func (b *Board) addDoubts(u *Update, c *cursor) {
-	u.Entries = b.subscribers[Entry]
-	if c.role == Control {
-		u.Doubts = b.doubts.own
-		return
+// poolFor returns what a role gets of the pool.
+func (b *Board) poolFor(r Role) Pool {
+	p := Pool{Entries: b.subscribers[Entry]}
+	if r == Control {
+		p.Doubts = b.doubts.own
+		return p
 	}
 	for _, n := range b.entries {
-		u.Entries += n
+		p.Entries += n
 	}
-	u.Shared = b.doubts.shared
+	p.Shared = b.doubts.shared
+	return p
+}
+
+func (p *Pool) equal(o *Pool) bool {
+	return p.Entries == o.Entries && slices.Equal(p.Doubts, o.Doubts) && slices.Equal(p.Shared, o.Shared)
 }
 
 // Stats are the gauges of a board.
@@ -337,4 +344,5 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.subscribers[r] += n
+	b.doubts.dirty = true
 }
--- a/internal/feed/doubts.go
+++ b/internal/feed/doubts.go
@@ -27,6 +27,9 @@
 		// VMs doubt everywhere. Both are ordered.
 		own    []Doubt
 		shared []fleet.Incarnation
+		// dirty is set where a report has come since the last sum. Sums are made
+		// at intervals, since many VMs may begin to doubt many targets at once.
+		dirty bool
 	}
 )
 
@@ -76,10 +79,15 @@
 	if len(ids) == 0 {
 		delete(b.doubts.entries, vm)
 	}
-	b.sumDoubts()
+	b.doubts.dirty = true
 }
 
+// sumDoubts adds up the reports since the last sum.
 func (b *Board) sumDoubts() {
+	if !b.doubts.dirty {
+		return
+	}
+	b.doubts.dirty = false
 	own, shared := b.doubts.sum()
 	if shared {
 		b.wake(&b.changed)
@@ -95,5 +103,5 @@
 	defer b.mu.Unlock()
 	delete(b.doubts.hubs, hub)
 	delete(b.entries, hub)
-	b.sumDoubts()
+	b.doubts.dirty = true
 }
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -1,13 +1,9 @@
 package feed
 
 import (
-	"encoding/binary"
 	"fmt"
-	"io"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"bamboowalk.org/bamboowalk/pkg/catalog"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/registry"
@@ -23,8 +19,6 @@
 	// maxFrame bounds the size of a message in bytes: a catalog of 4,300 routes
 	// and 23,000 records have about 3 MB.
 	maxFrame = 8 << 20
-
-	frameHeader = 4
 )
 
 // Roles of a subscriber.
@@ -62,14 +56,20 @@
 		Current bool `cbor:"6,keyasint,omitempty"`
 		// Hubs lists the control VMs; it is empty where it has not changed.
 		Hubs []Hub `cbor:"7,keyasint,omitempty"`
+		// Pool is nil where it has not changed.
+		Pool *Pool `cbor:"8,keyasint,omitempty"`
+	}
+
+	// Pool is what entry VMs have seen together.
+	Pool struct {
+		// Entries is the number of the publisher's entry VMs for hubs, and of all
+		// entry VMs for entry VMs.
+		Entries int `cbor:"1,keyasint,omitempty"`
 		// Doubts are those of the publisher's entry VMs, for hubs.
-		Doubts []Doubt `cbor:"8,keyasint,omitempty"`
+		Doubts []Doubt `cbor:"2,keyasint,omitempty"`
 		// Shared lists the targets that do not answer several entry VMs, for
 		// entry VMs.
-		Shared []fleet.Incarnation `cbor:"9,keyasint,omitempty"`
-		// Entries is the number of the publisher's entry VMs, for hubs, and of all
-		// entry VMs, for entry VMs.
-		Entries int `cbor:"10,keyasint,omitempty"`
+		Shared []fleet.Incarnation `cbor:"3,keyasint,omitempty"`
 	}
 
 	// Hub is a control VM; Zone is empty where it is not known.
@@ -126,40 +126,3 @@
 
 // Validate accepts every acknowledgement.
 func (*Ack) Validate() error { return nil }
-
-// message is a type that travels over a feed.
-type message interface{ Validate() error }
-
-// encode returns a message with its length in front.
-func encode(m message) ([]byte, error) {
-	body, err := cbor.Marshal(m)
-	if err != nil {
-		return nil, &MessageError{Type: fmt.Sprintf("%T", m), Reason: "can't be encoded", Err: err}
-	}
-	if len(body) > maxFrame {
-		return nil, &MessageError{Type: fmt.Sprintf("%T", m), Reason: fmt.Sprintf("has %d bytes, at most %d are allowed", len(body), maxFrame)}
-	}
-	frame := make([]byte, 0, frameHeader+len(body))
-	frame = binary.BigEndian.AppendUint32(frame, uint32(len(body)))
-	return append(frame, body...), nil
-}
-
-// read reads and checks one message.
-func read(r io.Reader, m message) error {
-	var header [frameHeader]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return err
-	}
-	n := binary.BigEndian.Uint32(header[:])
-	if n > maxFrame {
-		return &MessageError{Type: fmt.Sprintf("%T", m), Reason: fmt.Sprintf("has %d bytes, at most %d are allowed", n, maxFrame)}
-	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return err
-	}
-	if err := cbor.Unmarshal(body, m); err != nil {
-		return &MessageError{Type: fmt.Sprintf("%T", m), Reason: "can't be decoded", Err: err}
-	}
-	return m.Validate()
-}
--- a/internal/feed/publisher.go
+++ b/internal/feed/publisher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -12,10 +13,6 @@
 	// updateInterval is the least time between two updates of one subscriber,
 	// so that a series of changes makes one update.
 	updateInterval = 20 * time.Millisecond
-	// writeTimeout ends the connection to a subscriber that does not read.
-	writeTimeout = SilenceLimit
-	// helloTimeout bounds the wait for the first message.
-	helloTimeout = 2 * time.Second
 	// maxSubscribers bounds the connections; at the design scale 2,900 entry
 	// VMs share 16 control VMs, of which some may be down.
 	maxSubscribers = 1024
@@ -70,8 +67,9 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
+	steady := steadyConn{conn}
 	var hello Hello
-	if conn.SetReadDeadline(time.Now().Add(helloTimeout)) != nil || read(conn, &hello) != nil {
+	if read(steady, &hello) != nil {
 		return
 	}
 	if hello.Role == Control {
@@ -79,12 +77,12 @@
 	}
 	go func() {
 		defer cancel()
-		p.receive(conn, &hello)
+		p.receive(steady, &hello)
 	}()
 	p.Board.subscribed(hello.Role, 1)
 	defer p.Board.subscribed(hello.Role, -1)
 	c := &cursor{role: hello.Role, number: hello.Number}
-	p.send(ctx, conn, c)
+	p.send(ctx, steady, c)
 	if hello.Role == Control {
 		p.Board.forget(hello.VM)
 	} else {
@@ -93,11 +91,10 @@
 }
 
 // receive takes acknowledgements until the connection fails.
-func (p *Publisher) receive(conn net.Conn, hello *Hello) {
+func (p *Publisher) receive(conn io.Reader, hello *Hello) {
 	for {
 		var ack Ack
-		// An acknowledgement follows each beat.
-		if conn.SetReadDeadline(time.Now().Add(2*SilenceLimit)) != nil || read(conn, &ack) != nil {
+		if read(conn, &ack) != nil {
 			return
 		}
 		if hello.Role == Control {
@@ -108,7 +105,7 @@
 	}
 }
 
-func (p *Publisher) send(ctx context.Context, conn net.Conn, c *cursor) {
+func (p *Publisher) send(ctx context.Context, conn io.Writer, c *cursor) {
 	beat := time.NewTimer(0)
 	defer beat.Stop()
 	var news <-chan struct{}
@@ -130,22 +127,10 @@
 		case u == nil:
 			u = p.Board.beat(c)
 		}
-		if err := p.write(conn, u, now); err != nil {
+		if write(conn, u) != nil {
 			return
 		}
 		beat.Reset(BeatInterval)
 		time.Sleep(updateInterval)
 	}
 }
-
-func (p *Publisher) write(conn net.Conn, u *Update, now time.Time) error {
-	frame, err := encode(u)
-	if err != nil {
-		return err
-	}
-	if err := conn.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
-		return err
-	}
-	_, err = conn.Write(frame)
-	return err
-}
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -13,7 +13,7 @@
 
 // Subscription is the feed of one publisher. One goroutine calls Next.
 type Subscription struct {
-	conn net.Conn
+	conn steadyConn
 	stop func() bool
 	mu   sync.Mutex // guards writes to conn
 }
@@ -26,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Subscription{conn: conn, stop: context.AfterFunc(ctx, func() { conn.Close() })}
+	s := &Subscription{conn: steadyConn{conn}, stop: context.AfterFunc(ctx, func() { conn.Close() })}
 	if err := s.write(hello); err != nil {
 		s.Close()
 		return nil, err
@@ -34,11 +34,9 @@
 	return s, nil
 }
 
-// Next returns the next update; it fails after SilenceLimit without one.
+// Next returns the next update; it fails after SilenceLimit in which nothing of
+// one has come.
 func (s *Subscription) Next() (*Update, error) {
-	if err := s.conn.SetReadDeadline(time.Now().Add(SilenceLimit)); err != nil {
-		return nil, err
-	}
 	u := new(Update)
 	if err := read(s.conn, u); err != nil {
 		return nil, err
@@ -56,15 +54,7 @@
 }
 
 func (s *Subscription) write(m message) error {
-	frame, err := encode(m)
-	if err != nil {
-		return err
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.conn.SetWriteDeadline(time.Now().Add(SilenceLimit)); err != nil {
-		return err
-	}
-	_, err = s.conn.Write(frame)
-	return err
+	return write(s.conn, m)
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -211,6 +211,8 @@
 // found, which it returns.
 func (f *follower) follow(ctx context.Context, s *source) *source {
 	defer s.feed.Close()
+	// What others doubt is not known without a feed.
+	defer f.Core.SetShared(nil)
 	f.feeds.Add(1)
 	f.Log.Info("feed connected", zap.String(logging.Hub, string(s.hub)), zap.Bool("Current", s.first.Current),
 		zap.Bool("Complete", s.first.Complete), zap.Int("Targets", len(s.first.Records)))
@@ -238,8 +240,10 @@
 		default:
 		}
 		if err == nil {
-			f.Core.SetShared(u.Shared)
-			f.Core.SetEntries(u.Entries)
+			if u.Pool != nil {
+				f.Core.SetShared(u.Pool.Shared)
+				f.Core.SetEntries(u.Pool.Entries)
+			}
 			f.Core.Tick(now)
 			err = f.acknowledge(s, u.Version)
 		}
--- a/pkg/steering/core_test.go
+++ b/pkg/steering/core_test.go
@@ -357,3 +357,24 @@
 		t.Errorf("got %+v, want %+v", s.events, want)
 	}
 }
+
+// Guards against a VM without links that makes all others avoid the targets.
+func TestOwnFaultIsNotTold(t *testing.T) {
+	var records []registry.Record
+	for id := fleet.Incarnation(1); id <= 10; id++ {
+		records = append(records, target(id, "counter", "z0"))
+	}
+	s := newScene(t, records...)
+	for n := range 10 {
+		s.open(flowOf(n), 0)
+		s.now = s.now.Add(200 * time.Millisecond)
+		s.open(flowOf(n), 1)
+		told := len(s.core.Doubts())
+		if doubted := s.core.Stats().Doubted; doubted <= 5 && told != doubted || doubted > 5 && told != 0 {
+			t.Errorf("%d of 10 targets in doubt: told %d, want all up to 5 and none above", doubted, told)
+		}
+	}
+	if got := s.core.Stats().Doubted; got < 6 {
+		t.Errorf("targets in doubt: got %d, want most", got)
+	}
+}
--- a/pkg/steering/doubt.go
+++ b/pkg/steering/doubt.go
@@ -6,6 +6,10 @@
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
+// minOwnFault is the number of targets that may not answer a VM before it asks
+// whether the fault is its own.
+const minOwnFault = 3
+
 // trustTime is how long a VM trusts its own flows more than the doubt of
 // others, whose links may be the cause.
 const trustTime = 500 * time.Millisecond
@@ -84,7 +88,9 @@
 	return c.view.healthPath(t.ID.Service), true
 }
 
-// Doubts returns the targets that do not answer this VM, for the other ones.
+// Doubts returns the targets that do not answer this VM, for the other ones. It
+// returns none where most targets do not: the fault is then more likely with
+// this VM's links.
 func (c *Core) Doubts() []fleet.Incarnation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -97,6 +103,9 @@
 			ids = append(ids, t.ID.Incarnation)
 		}
 	}
+	if len(ids) > minOwnFault && 2*len(ids) > c.view.live {
+		return nil
+	}
 	return ids
 }
 
--- a/pkg/steering/view.go
+++ b/pkg/steering/view.go
@@ -50,6 +50,8 @@
 
 		routes  map[netip.AddrPort]*route
 		targets map[Cookie]*Target
+		// live is the number of targets that have not ended.
+		live int
 	}
 )
 
@@ -82,6 +84,11 @@
 			v.targets[t.Cookie] = t
 		}
 	}
+	for _, t := range v.targets {
+		if t.State != fleet.TargetGone {
+			v.live++
+		}
+	}
 	if c == nil {
 		return v
 	}
