--- a/pkg/replica/election.go
+++ b/pkg/replica/election.go
@@ -22,7 +22,6 @@
 	sender := Identity{VM: from, Incarnation: m.From}
 	switch m.Kind {
 	case PreVote:
-		r.handleStranger(sender)
 		r.handlePreVote(sender, &m)
 	case Vote:
 		r.handleVote(sender, &m)
@@ -124,6 +123,11 @@
 	r.leader = ""
 	r.resetElection()
 	r.requestVotes(PreVote, r.hard.Term+1, false)
+	if r.o.Admit {
+		// A voter that was removed while it was silent can't know it, nor that
+		// none of the voters it knows is left.
+		r.askForAdmission()
+	}
 }
 
 func (r *Replica) handleTimeoutNow(m *Message) {
@@ -228,6 +232,12 @@
 	if heard || r.promise-r.lastJoin < r.o.ElectionTimeout/2 {
 		return
 	}
+	r.askForAdmission()
+}
+
+// askForAdmission announces this replica to all others that it knows. A leader
+// ignores it from a member of the present incarnation.
+func (r *Replica) askForAdmission() {
 	r.lastJoin = r.promise
 	peers := slices.Clone(r.o.Peers)
 	for _, m := range r.config().Members {
@@ -247,11 +257,3 @@
 		r.joining[from.VM] = from.Incarnation
 	}
 }
-
-// handleStranger takes a candidate that is no member for one that was removed
-// while it was silent, and that can't know it.
-func (r *Replica) handleStranger(from Identity) {
-	if r.o.Admit && r.role == roleLeader && r.config().find(from.VM) == nil {
-		r.handleJoin(from)
-	}
-}
