Do not crowd flows onto the few targets that a hub cut off from others hears

Cause: targets announce themselves to any hub; a hub without the others took two thirds of the targets for silent, and entry VMs sent no flow there, so that the others shed and reset. Change: silence speaks against a single target or a quarter of a service's targets at most, and costs two requests a slot instead of excluding the target; a target that has died is found by its unanswered opening packets. Test: TestSilentMajority fails on the former code.

--- a/pkg/steering/choose.go
+++ b/pkg/steering/choose.go
@@ -9,6 +9,12 @@
 	// less than one request at a target of three slots, so that flows go there
 	// as soon as this VM has a request at each target of its own zone.
 	otherZoneCost = 0.2
+	// silentCost is what a target that is not heard costs, in requests a slot:
+	// new flows go there only where others have several requests each.
+	silentCost = 2
+	// maxSilentShare is the part of a service's targets up to which silence
+	// speaks against them.
+	maxSilentShare = 0.25
 	// coldFactor is the load of a target that has just started, in relation to
 	// that of a warm one.
 	coldFactor = 2
@@ -16,9 +22,8 @@
 
 // Costs that order targets that should not be chosen behind all others.
 const (
-	silentCost = 1e4
-	doubtCost  = 1e5
-	avoidCost  = 1e6
+	doubtCost = 1e5
+	avoidCost = 1e6
 )
 
 // choose returns the target of a new flow, or nil where the service has none:
@@ -32,7 +37,7 @@
 		if !t.TakesNewFlows() {
 			continue
 		}
-		cost := c.cost(t, avoid, now)
+		cost := c.cost(s, t, avoid, now)
 		switch {
 		case best == nil || cost < least:
 			best, least, ties = t, cost, 1
@@ -48,7 +53,7 @@
 
 // cost returns this VM's requests a slot at a target, plus what speaks against
 // choosing it.
-func (c *Core) cost(t *Target, avoid Cookie, now time.Time) float64 {
+func (c *Core) cost(s *service, t *Target, avoid Cookie, now time.Time) float64 {
 	l := c.loads[t.Cookie]
 	cost := 0.0
 	if l != nil {
@@ -60,7 +65,7 @@
 	if t.Zone != c.Zone {
 		cost += otherZoneCost
 	}
-	if t.Silent {
+	if t.Silent && s.trustsSilence() {
 		cost += silentCost
 	}
 	if c.inDoubt(t.Cookie, l, now) {
--- a/pkg/steering/core_test.go
+++ b/pkg/steering/core_test.go
@@ -223,6 +223,27 @@
 	}
 }
 
+// Guards against load that piles up at the few targets whose announcements reach
+// a hub that is cut off from the others.
+func TestSilentMajority(t *testing.T) {
+	var records []registry.Record
+	for id := fleet.Incarnation(1); id <= 8; id++ {
+		rec := target(id, "counter", "z0")
+		rec.Silent = id > 3
+		records = append(records, rec)
+	}
+	s := newScene(t, records...)
+	got := make(map[fleet.Incarnation]int)
+	for n := range 8 {
+		got[s.open(flowOf(n), 0)]++
+	}
+	for id := fleet.Incarnation(1); id <= 8; id++ {
+		if got[id] != 1 {
+			t.Errorf("target %d: got %d flows of 8, want 1", id, got[id])
+		}
+	}
+}
+
 // Guards against targets that only some VMs avoid, and against VMs that follow
 // others although the target answers them.
 func TestSharedDoubt(t *testing.T) {
--- a/pkg/steering/view.go
+++ b/pkg/steering/view.go
@@ -41,6 +41,9 @@
 		targets []*Target
 		// slots is the number of slots of the targets that take new flows.
 		slots int
+		// open is the number of those targets, and silent that of the ones among
+		// them that are not heard.
+		open, silent int
 	}
 
 	// View is what an entry VM knows of the catalog and the targets. It is
@@ -101,6 +104,10 @@
 			s.targets = append(s.targets, t)
 			if t.TakesNewFlows() {
 				s.slots += t.Slots
+				s.open++
+				if t.Silent {
+					s.silent++
+				}
 			}
 		}
 	}
@@ -134,6 +141,13 @@
 // Ready reports whether the view has a catalog and a target.
 func (v *View) Ready() bool { return v.Catalog != nil && len(v.targets) > 0 }
 
+// trustsSilence reports whether silence speaks against a target: a single one, or
+// a small part of all. Where more are silent at once, it is likelier that their
+// announcements are cut off, and the others could not carry their load.
+func (s *service) trustsSilence() bool {
+	return s.silent <= 1 || float64(s.silent) <= maxSilentShare*float64(s.open)
+}
+
 // pick returns the service of a new flow, by the weights of its route.
 func (r *route) pick(random uint64) *service {
 	n := random % r.total
