Try hubs again while earlier attempts hang

Change: one search tries each hub three times, 40 ms apart. Test: TestHubStartsLater fails with one round.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -27,6 +27,9 @@
 	// that have not answered yet: a hub in another zone answers within some
 	// milliseconds.
 	attemptDelay = 40 * time.Millisecond
+	// searchRounds is how often each hub is tried in one search, since a first
+	// packet to a VM that has no power yet is lost without an error.
+	searchRounds = 3
 	// staleLimit is the time for which a feed is kept although its hub has no
 	// contact with a majority: an election may be going on.
 	staleLimit = time.Second
@@ -111,7 +114,7 @@
 	var s *source
 	for ctx.Err() == nil {
 		if s == nil {
-			s = f.search(ctx, f.candidates(false))
+			s = f.search(ctx, slices.Repeat(f.candidates(false), searchRounds))
 		}
 		if s != nil {
 			s = f.follow(ctx, s)
