Soak: the daemons as processes under random faults

bamboowalk soak draws a script from a seed and plays it against the daemons on loopback: processes frozen, killed, stopped and wiped, cut, delayed and reset connections between each pair of VMs, targets that crash, leave, go deaf or lose their address to another service, changes and races of operators, lost packets.

--- /dev/null
+++ b/cmd/bamboowalk/soak.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"bamboowalk.org/bamboowalk/platform/emulator"
+)
+
+// startLimit bounds the start of a deployment until it serves.
+const startLimit = 30 * time.Second
+
+type (
+	// soakCommand runs the daemons of the users' platform under random faults.
+	soakCommand struct {
+		Binary    string        `default:"bin/bamboowalkd" type:"path" help:"Program of the daemons."`
+		Templates string        `default:"deploy" type:"path" help:"Folder of the templates of their settings."`
+		Dir       string        `type:"path" help:"Folder for settings, data and logs, one a seed; left out, a temporary one that is kept where a seed fails."`
+		First     uint64        `default:"1" help:"First seed."`
+		Count     int           `default:"1" help:"Number of seeds."`
+		Length    time.Duration `default:"12s" help:"Time in which faults begin."`
+		Entries   int           `default:"2" help:"Entry VMs in each of three zones."`
+		Verbose   bool          `short:"v" help:"Print each step."`
+	}
+
+	// soakError reports seeds that broke a promise.
+	soakError struct{ seeds []uint64 }
+)
+
+// Error names the seeds.
+func (e *soakError) Error() string { return fmt.Sprintf("promises were broken by seeds %v", e.seeds) }
+
+// Run plays the seeds one after the other; it returns an error where one broke a
+// promise.
+func (c *soakCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	dir := c.Dir
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "bamboowalk-soak-"); err != nil {
+			return err
+		}
+	}
+	var failed []uint64
+	for i := range uint64(c.Count) {
+		seed := c.First + i
+		v, err := c.play(ctx, seed, filepath.Join(dir, fmt.Sprint(seed)))
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", seed, err)
+		}
+		fmt.Printf("seed %d: ", seed)
+		v.Print(os.Stdout)
+		if v.Failed() {
+			failed = append(failed, seed)
+		}
+	}
+	if len(failed) > 0 {
+		fmt.Printf("logs are in %s\n", dir)
+		return &soakError{failed}
+	}
+	if c.Dir == "" {
+		return os.RemoveAll(dir)
+	}
+	return nil
+}
+
+func (c *soakCommand) play(ctx context.Context, seed uint64, dir string) (*emulator.Verdict, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	cfg := emulator.ExampleConfig()
+	cfg.Links, cfg.Entries = true, c.Entries
+	p, err := emulator.New(cfg)
+	if err != nil {
+		return nil, err
+	}
+	s := &emulator.System{Platform: p, Binary: c.Binary, Templates: c.Templates, Dir: dir}
+	defer func() {
+		p.Stop()
+		if err := s.KillAll(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}()
+	start, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	if err := s.Begin(start); err != nil {
+		return nil, err
+	}
+	soak := &emulator.Soak{System: s, Steps: emulator.Script(seed, c.Length), Out: io.Discard}
+	if c.Verbose {
+		soak.Out = os.Stdout
+	}
+	return soak.Run(ctx)
+}
