--- a/pkg/balancer/offer.go
+++ b/pkg/balancer/offer.go
@@ -147,7 +147,10 @@
 }
 
 func (b *Balancer) offeredAgain(i uint32, p *Packet, now time.Time, out []Action) []Action {
-	if b.flows.entries[i].state == stateReturned {
+	if e := &b.flows.entries[i]; e.state == stateReturned {
+		// The entry may be that of an earlier request on the same port; it has to
+		// outlive late duplicates of this offer.
+		e.until = tick(now) + b.listeners.all[e.listener].retention
 		return b.returnOffer(p, out)
 	}
 	return b.known(i, p, now, out)
@@ -164,7 +167,8 @@
 }
 
 // returned handles an offer that comes back. An answer to an offer of an
-// earlier epoch proves nothing, since a later owner may have accepted the flow.
+// earlier epoch proves nothing, since a later owner may have accepted the flow;
+// nor does one to a VM that did not own the first candidate all the while.
 func (b *Balancer) returned(p *Packet, now time.Time, out []Action) []Action {
 	i := b.find(p)
 	if i == noEntry {
@@ -172,7 +176,7 @@
 	}
 	e := &b.flows.entries[i]
 	stale := b.places.all[e.place].key != p.Header.Target || e.epoch != uint32(p.Header.Epoch)
-	if e.state != stateAway || stale || p.Start && e.instance != p.Instance {
+	if e.state != stateAway || stale || b.isStale(e) || p.Start && e.instance != p.Instance {
 		return b.drop(p, CauseStale, out)
 	}
 	return b.decideAgain(i, p, now, out)
@@ -180,6 +184,9 @@
 
 // established handles a packet of a flow that is at a place of this VM.
 func (b *Balancer) established(p *Packet, now time.Time, out []Action) []Action {
+	if b.passedEarlier(p) {
+		return b.drop(p, CauseStale, out)
+	}
 	l, out := b.newHere(p, now, out)
 	if l == nil {
 		return out
@@ -200,6 +207,18 @@
 	return b.adopt(p, l, at, now, out)
 }
 
+// passedEarlier reports whether a start packet of a non-idempotent request was
+// passed to this VM before it took the place over: its predecessor may have
+// returned the flow since.
+func (b *Balancer) passedEarlier(p *Packet) bool {
+	at, ok := b.places.at[p.Header.Target]
+	if !ok || !p.Start || !b.places.all[at].owned || p.Header.Epoch >= b.places.all[at].takenEpoch {
+		return false
+	}
+	l := b.view.Listener(p.Flow.VIP, p.Flow.Protocol)
+	return l != nil && !l.Kind.Idempotent
+}
+
 // establishedZone handles a flow that another zone offered to this one.
 func (b *Balancer) establishedZone(p *Packet, l *fleet.Listener, now time.Time, out []Action) []Action {
 	r := b.cfg.Strategy.Route(b.placement, l.Service, p.hash)
--- a/pkg/balancer/random_test.go
+++ b/pkg/balancer/random_test.go
@@ -163,6 +163,9 @@
 		3451:  "a frozen VM forwards to an address that another service has taken over",
 		4053:  "the last owner of a target that is gone is not asked about its flows",
 		4080:  "a VM that passed a flow to another zone decides after its own next epoch",
+		50413: "the memory of a returned offer ends with that of an earlier request on the port",
+		50705: "a VM decides by a return although another VM owned the place meanwhile",
+		52467: "a late duplicate of a passed order is adopted by the place's next owner",
 		41013: "a VM that was paused while it joined passes packets that waited",
 	} {
 		t.Run(fmt.Sprintf("%d: %s", seed, fault), func(t *testing.T) {
