Avoid targets at which requests are overdue, pooled over entry VMs

Change: an entry VM notes when a response has not begun within the objective of its route, by the caller's acknowledgements. For 3 s such a target costs two requests a slot more, at this VM and, once two VMs report it with their acknowledgements to the hubs, at all. Beyond a quarter of a service's targets nothing is held against any: then the service is overloaded.

--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -32,7 +32,9 @@
 	// acknowledged; acked is closed and replaced at each acknowledgement.
 	confirmed map[fleet.VMID]registry.Version
 	acked     chan struct{}
-	doubts    doubts
+	// doubts holds the targets that do not answer, and overdue those at which
+	// requests were overdue.
+	doubts, overdue doubts
 	// subscribers counts the connections.
 	subscribers map[Role]int
 	// entries holds the number of entry VMs of each connected hub.
@@ -62,6 +64,7 @@
 		confirmed:   make(map[fleet.VMID]registry.Version),
 		acked:       make(chan struct{}),
 		doubts:      newDoubts(),
+		overdue:     newDoubts(),
 		subscribers: map[Role]int{Entry: 0, Control: 0},
 		entries:     make(map[fleet.VMID]int),
 	}
@@ -168,8 +171,8 @@
 	defer b.mu.Unlock()
 	if u.Pool != nil {
 		b.entries[from] = u.Pool.Entries
-		b.doubts.hubs[from] = u.Pool.Doubts
-		b.doubts.dirty = true
+		b.doubts.take(from, u.Pool.Doubts)
+		b.overdue.take(from, u.Pool.Overdue)
 	}
 	// A hub that has lost its disk gets the catalog here before the log.
 	if u.Catalog != nil && u.Catalog.To > b.catalog.Number() {
@@ -201,7 +204,7 @@
 func (b *Board) Tick(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.sumDoubts()
+	b.sumReports()
 	before := b.targets.Changed()
 	b.targets.Tick(now)
 	complete := !now.Before(b.completeAt)
@@ -304,18 +307,19 @@
 func (b *Board) poolFor(r Role) Pool {
 	p := Pool{Entries: b.subscribers[Entry]}
 	if r == Control {
-		p.Doubts = b.doubts.own
+		p.Doubts, p.Overdue = b.doubts.own, b.overdue.own
 		return p
 	}
 	for _, n := range b.entries {
 		p.Entries += n
 	}
-	p.Shared = b.doubts.shared
+	p.Shared, p.SharedOverdue = b.doubts.shared, b.overdue.shared
 	return p
 }
 
 func (p *Pool) equal(o *Pool) bool {
-	return p.Entries == o.Entries && slices.Equal(p.Doubts, o.Doubts) && slices.Equal(p.Shared, o.Shared)
+	return p.Entries == o.Entries && slices.Equal(p.Doubts, o.Doubts) && slices.Equal(p.Shared, o.Shared) &&
+		slices.Equal(p.Overdue, o.Overdue) && slices.Equal(p.SharedOverdue, o.SharedOverdue)
 }
 
 // Stats are the gauges of a board.
--- a/internal/feed/doubts.go
+++ b/internal/feed/doubts.go
@@ -17,7 +17,7 @@
 		VMs    int               `cbor:"2,keyasint"`
 	}
 
-	// doubts sums up what entry VMs and hubs report.
+	// doubts sums up what entry VMs and hubs report of one kind.
 	doubts struct {
 		// entries holds the targets in doubt of each connected entry VM, and hubs
 		// the sums of each connected hub.
@@ -68,32 +68,52 @@
 	return own, shared
 }
 
-// doubt takes the doubts of an entry VM; nil where its connection has ended.
-func (b *Board) doubt(vm fleet.VMID, ids []fleet.Incarnation) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(ids) == 0 && len(b.doubts.entries[vm]) == 0 {
+// report takes the targets of an entry VM; none where its connection has ended.
+func (d *doubts) report(vm fleet.VMID, ids []fleet.Incarnation) {
+	if slices.Equal(ids, d.entries[vm]) {
 		return
 	}
-	b.doubts.entries[vm] = ids
+	d.entries[vm] = ids
 	if len(ids) == 0 {
-		delete(b.doubts.entries, vm)
+		delete(d.entries, vm)
 	}
-	b.doubts.dirty = true
+	d.dirty = true
 }
 
-// sumDoubts adds up the reports since the last sum.
-func (b *Board) sumDoubts() {
-	if !b.doubts.dirty {
-		return
-	}
-	b.doubts.dirty = false
-	own, shared := b.doubts.sum()
-	if shared {
-		b.wake(&b.changed)
-	}
-	if own {
-		b.wake(&b.touched)
+// take takes the sums of a hub.
+func (d *doubts) take(hub fleet.VMID, sums []Doubt) {
+	d.hubs[hub] = sums
+	d.dirty = true
+}
+
+// lost forgets the sums of a hub.
+func (d *doubts) lost(hub fleet.VMID) {
+	delete(d.hubs, hub)
+	d.dirty = true
+}
+
+// report takes what an entry VM has seen of the targets.
+func (b *Board) report(vm fleet.VMID, a *Ack) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.doubts.report(vm, a.Doubts)
+	b.overdue.report(vm, a.Overdue)
+}
+
+// sumReports adds up the reports since the last sum.
+func (b *Board) sumReports() {
+	for _, d := range []*doubts{&b.doubts, &b.overdue} {
+		if !d.dirty {
+			continue
+		}
+		d.dirty = false
+		own, shared := d.sum()
+		if shared {
+			b.wake(&b.changed)
+		}
+		if own {
+			b.wake(&b.touched)
+		}
 	}
 }
 
@@ -101,7 +121,7 @@
 func (b *Board) Lost(hub fleet.VMID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.doubts.hubs, hub)
+	b.doubts.lost(hub)
+	b.overdue.lost(hub)
 	delete(b.entries, hub)
-	b.doubts.dirty = true
 }
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -70,6 +70,10 @@
 		// Shared lists the targets that do not answer several entry VMs, for
 		// entry VMs.
 		Shared []fleet.Incarnation `cbor:"3,keyasint,omitempty"`
+		// Overdue and SharedOverdue are the same for targets at which requests were
+		// overdue.
+		Overdue       []Doubt             `cbor:"4,keyasint,omitempty"`
+		SharedOverdue []fleet.Incarnation `cbor:"5,keyasint,omitempty"`
 	}
 
 	// Hub is a control VM; Zone is empty where it is not known.
@@ -84,6 +88,8 @@
 		Number  catalog.Number   `cbor:"2,keyasint"`
 		// Doubts lists the targets that do not answer the entry VM.
 		Doubts []fleet.Incarnation `cbor:"3,keyasint,omitempty"`
+		// Overdue lists those at which requests of the entry VM were overdue.
+		Overdue []fleet.Incarnation `cbor:"4,keyasint,omitempty"`
 	}
 
 	// MessageError reports a message that can't be sent or decoded.
--- a/internal/feed/publisher.go
+++ b/internal/feed/publisher.go
@@ -86,7 +86,7 @@
 	if hello.Role == Control {
 		p.Board.forget(hello.VM)
 	} else {
-		p.Board.doubt(hello.VM, nil)
+		p.Board.report(hello.VM, new(Ack))
 	}
 }
 
@@ -100,7 +100,7 @@
 		if hello.Role == Control {
 			p.Board.confirm(hello.VM, ack.Version)
 		} else {
-			p.Board.doubt(hello.VM, ack.Doubts)
+			p.Board.report(hello.VM, &ack)
 		}
 	}
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -215,7 +215,7 @@
 func (f *follower) follow(ctx context.Context, s *source) *source {
 	defer s.feed.Close()
 	// What others doubt is not known without a feed.
-	defer f.Core.SetShared(nil)
+	defer f.Core.SetShared(nil, nil)
 	f.feeds.Add(1)
 	f.Log.Info("feed connected", zap.String(logging.Hub, string(s.hub)), zap.Bool("Current", s.first.Current),
 		zap.Bool("Complete", s.first.Complete), zap.Int("Targets", len(s.first.Records)))
@@ -244,7 +244,7 @@
 		}
 		if err == nil {
 			if u.Pool != nil {
-				f.Core.SetShared(u.Pool.Shared)
+				f.Core.SetShared(u.Pool.Shared, u.Pool.SharedOverdue)
 				f.Core.SetEntries(u.Pool.Entries)
 			}
 			f.Core.Tick(now)
@@ -269,7 +269,7 @@
 // answer it.
 func (f *follower) acknowledge(s *source, v registry.Version) error {
 	f.mu.Lock()
-	ack := feed.Ack{Version: v, Number: f.mirror.number(), Doubts: f.Core.Doubts()}
+	ack := feed.Ack{Version: v, Number: f.mirror.number(), Doubts: f.Core.Doubts(), Overdue: f.Core.Overdue(time.Now())}
 	f.source, f.version = s, v
 	f.mu.Unlock()
 	return s.feed.Acknowledge(ack)
--- a/pkg/steering/choose.go
+++ b/pkg/steering/choose.go
@@ -33,11 +33,15 @@
 func (c *Core) choose(s *service, avoid Cookie, now time.Time) *Target {
 	var best *Target
 	least, ties := 0.0, 0
+	trusts := c.trustsOverdue(s, now)
 	for _, t := range s.targets {
 		if !t.TakesNewFlows() {
 			continue
 		}
 		cost := c.cost(s, t, avoid, now)
+		if trusts && c.overdue(t.Cookie, now) {
+			cost += overdueCost
+		}
 		switch {
 		case best == nil || cost < least:
 			best, least, ties = t, cost, 1
--- a/pkg/steering/core.go
+++ b/pkg/steering/core.go
@@ -46,7 +46,7 @@
 	unopenedLifetime = 1500 * time.Millisecond
 	// sweepInterval is the time between two searches for flows that have
 	// ended silently.
-	sweepInterval = 500 * time.Millisecond
+	sweepInterval = 250 * time.Millisecond
 	// deadlineMargin is added to the deadline of a request until its flow is
 	// taken to have ended.
 	deadlineMargin = time.Second
@@ -154,10 +154,11 @@
 		// entry VMs.
 		pressures map[fleet.ServiceID]*pressure
 		entries   int
-		// shared holds the targets that do not answer several VMs.
-		shared map[Cookie]bool
-		swept  time.Time
-		stats  map[Cause]uint64
+		// shared holds the targets that do not answer several VMs, and sharedOverdue
+		// those at which requests of several VMs were overdue.
+		shared, sharedOverdue map[Cookie]bool
+		swept                 time.Time
+		stats                 map[Cause]uint64
 	}
 
 	// flow is a flow that this VM has seen the start of.
@@ -172,10 +173,12 @@
 		// last one.
 		started, sent time.Time
 		// asked is set once the caller has sent data, with its acknowledgement
-		// number at that moment; kept is set where it sends another request.
-		asked   bool
-		askedAt uint32
-		kept    bool
+		// number and the time of that moment; answered once it acknowledges a part
+		// of the response, late where that was not in time, and kept where it sends
+		// another request.
+		asked, answered, late, kept bool
+		askedAt                     uint32
+		askedTime                   time.Time
 	}
 )
 
@@ -371,6 +374,9 @@
 		if !f.opened && now.Sub(f.sent) > unopenedLifetime {
 			over = true
 		}
+		if f.asked && !f.answered && !f.ended {
+			c.judge(f, now)
+		}
 		if over {
 			c.end(k, f, false, now)
 			delete(c.flows, k)
--- a/pkg/steering/core_test.go
+++ b/pkg/steering/core_test.go
@@ -248,7 +248,7 @@
 // others although the target answers them.
 func TestSharedDoubt(t *testing.T) {
 	s := newScene(t, target(1, "counter", "z0"), target(2, "counter", "z0"))
-	s.core.SetShared([]fleet.Incarnation{1})
+	s.core.SetShared([]fleet.Incarnation{1}, nil)
 	for n := range 10 {
 		if got := s.open(flowOf(n), 0); got != 2 {
 			t.Errorf("flow %d: got target %d, want 2", n, got)
--- a/pkg/steering/doubt.go
+++ b/pkg/steering/doubt.go
@@ -22,6 +22,8 @@
 	// answered is the time of the newest opening packet that the target has
 	// answered.
 	answered time.Time
+	// overdue is the time of the last request that was overdue there.
+	overdue time.Time
 }
 
 func (c *Core) loadOf(k Cookie) *load {
@@ -109,13 +111,19 @@
 	return ids
 }
 
-// SetShared takes the targets that do not answer several VMs.
-func (c *Core) SetShared(ids []fleet.Incarnation) {
-	shared := make(map[Cookie]bool, len(ids))
-	for _, id := range ids {
-		shared[CookieOf(id)] = true
-	}
+// SetShared takes the targets that do not answer several VMs, and those at which
+// requests of several VMs were overdue.
+func (c *Core) SetShared(doubts, overdue []fleet.Incarnation) {
+	shared, sharedOverdue := cookies(doubts), cookies(overdue)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.shared = shared
+	c.shared, c.sharedOverdue = shared, sharedOverdue
+}
+
+func cookies(ids []fleet.Incarnation) map[Cookie]bool {
+	set := make(map[Cookie]bool, len(ids))
+	for _, id := range ids {
+		set[CookieOf(id)] = true
+	}
+	return set
 }
--- a/pkg/steering/pressure.go
+++ b/pkg/steering/pressure.go
@@ -64,19 +64,6 @@
 	}
 }
 
-// noteRequest notices callers that send several requests over one flow: data that
-// follow after a part of the response are another request.
-func (c *Core) noteRequest(f *flow, p *Packet, now time.Time) {
-	switch {
-	case p.Data == 0 || f.kept:
-	case !f.asked:
-		f.asked, f.askedAt = true, p.Acknowledged
-	case p.Acknowledged != f.askedAt:
-		f.kept = true
-		c.pressureOf(f.service).keptAt = now
-	}
-}
-
 // refuses reports whether a new request is refused: the service has been slow
 // for a while, this VM has its share of the slots in use, and no work that is
 // asked for is less urgent.
