--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -275,6 +275,22 @@
 	subs[2].until("without the other hub", shared(6))
 	subs[1].Close()
 	subs[2].until("without the second VM", shared())
+	// Overdue requests are added up apart.
+	sharedOverdue := func(want ...fleet.Incarnation) func(u *Update) bool {
+		return func(u *Update) bool {
+			return u.Pool != nil && slices.Equal(u.Pool.SharedOverdue, want) && len(u.Pool.Shared) == 0
+		}
+	}
+	for _, i := range []int{0, 2} {
+		if err := subs[i].Acknowledge(Ack{Overdue: []fleet.Incarnation{8}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	subs[2].until("overdue at two VMs", sharedOverdue(8))
+	if err := subs[0].Acknowledge(Ack{}); err != nil {
+		t.Fatal(err)
+	}
+	subs[2].until("overdue at one VM", sharedOverdue())
 }
 
 // Guards against a publisher that garbage stops, and against messages that make
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -114,7 +114,7 @@
 	var s *source
 	for ctx.Err() == nil {
 		if s == nil {
-			s = f.search(ctx, slices.Repeat(f.candidates(false), searchRounds))
+			s = f.search(ctx, f.candidates(false), searchRounds)
 		}
 		if s != nil {
 			s = f.follow(ctx, s)
@@ -130,28 +130,29 @@
 }
 
 // search asks hubs one after the other, without waiting for those that are
-// slow. It returns the first that is in contact with a majority, else one that
-// has answered, or nil.
-func (f *follower) search(ctx context.Context, candidates []fleet.VMID) *source {
+// slow, and all of them again where none answers. It returns the first that is in
+// contact with a majority, else one that has answered, or nil.
+func (f *follower) search(ctx context.Context, candidates []fleet.VMID, rounds int) *source {
 	number := f.number()
-	answers := make(chan *source, len(candidates))
+	total := rounds * len(candidates)
+	answers := make(chan *source, total)
 	var best *source
-	pending := 0
+	asked, pending := 0, 0
 	next := time.NewTimer(0)
 	defer next.Stop()
-	for len(candidates) > 0 || pending > 0 {
+	for asked < total || pending > 0 {
 		select {
 		case <-next.C:
-			if len(candidates) == 0 {
+			if asked == total || best != nil && asked >= len(candidates) {
 				// One that has answered is better than one that may never do.
 				closeLater(answers, pending)
 				return best
 			}
-			id := candidates[0]
-			candidates = candidates[1:]
+			id := candidates[asked%len(candidates)]
+			asked++
 			pending++
 			go func() { answers <- f.open(ctx, id, number) }()
-			if len(candidates) > 0 || best != nil {
+			if asked < total || best != nil {
 				next.Reset(attemptDelay)
 			}
 		case s := <-answers:
@@ -231,7 +232,7 @@
 		if found == nil && now.Sub(searched) > searchInterval && (stale || f.away(s.hub)) {
 			searched = now
 			found = make(chan *source, 1)
-			go func(near bool) { found <- f.search(ctx, f.candidates(near)) }(!stale)
+			go func(near bool) { found <- f.search(ctx, f.candidates(near), 1) }(!stale)
 		}
 		select {
 		case n := <-found:
