--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -331,6 +331,8 @@
 	Hubs        int
 	// Shared is the number of targets that do not answer several entry VMs.
 	Shared int
+	// Overdue is the number of those at which requests of several were overdue.
+	Overdue int
 }
 
 // Stats returns the present gauges.
@@ -340,6 +342,7 @@
 	return Stats{
 		Targets: b.targets.States(), Subscribers: maps.Clone(b.subscribers), Number: b.catalog.Number(),
 		Current: b.current, Hubs: len(b.hubs), Shared: len(b.doubts.shared),
+		Overdue: len(b.overdue.shared),
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,6 +24,7 @@
 	sendsDesc      = newDesc("failed_sends_total", "Packets that could not be sent.")
 	flowsDesc      = newDesc("table_flows", "Flows in the table, ended ones included that are still remembered.")
 	doubtedDesc    = newDesc("doubted_targets", "Targets that do not answer this VM.")
+	overdueDesc    = newDesc("overdue_targets", "Targets that this VM avoids since requests were overdue there.")
 	targetsDesc    = newDesc("known_targets", "Targets, by their state as the feed tells it.", "state")
 	numberDesc     = newDesc("catalog_number", "Number of the catalog in force at this VM.")
 	catalogAgeDesc = newDesc("catalog_age_seconds", "Time since the catalog came into force at this VM.")
@@ -47,7 +48,7 @@
 	opens.Describe(descs)
 	flows.Describe(descs)
 	return []*prometheus.Desc{
-		packetsDesc, invalidDesc, sendsDesc, flowsDesc, doubtedDesc, targetsDesc, numberDesc, catalogAgeDesc,
+		packetsDesc, invalidDesc, sendsDesc, flowsDesc, doubtedDesc, overdueDesc, targetsDesc, numberDesc, catalogAgeDesc,
 		feedAgeDesc, feedsDesc, checksDesc, leftOutDesc, droppedDesc, <-descs, <-descs,
 	}
 }
@@ -79,7 +80,7 @@
 		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
 	}
 	now := time.Now()
-	stats := c.d.core.Stats()
+	stats := c.d.core.Stats(now)
 	for _, cause := range steering.Causes {
 		counter(packetsDesc, stats.Decisions[cause], string(cause))
 	}
@@ -87,6 +88,7 @@
 	counter(sendsDesc, c.d.unsent.Load())
 	gauge(flowsDesc, float64(stats.Flows))
 	gauge(doubtedDesc, float64(stats.Doubted))
+	gauge(overdueDesc, float64(stats.Overdue))
 	f := &c.d.follower
 	states, number := f.states()
 	for _, state := range []fleet.TargetState{fleet.TargetReady, fleet.TargetDraining, fleet.TargetGone, registry.StateSilent} {
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -89,6 +89,12 @@
 // TargetDoubted has the target's health checked.
 func (o *observer) TargetDoubted(t *steering.Target) { o.Doubted(t) }
 
+// TargetOverdue writes a line about the first of several requests that are
+// overdue at a target.
+func (o *observer) TargetOverdue(k steering.FlowKey, e steering.FlowEvent) {
+	o.event("request overdue, target avoided", k, &e, zap.Duration(logging.Objective, e.Objective))
+}
+
 // FlowOpened counts the time to the caller's acknowledgement.
 func (o *observer) FlowOpened(k steering.FlowKey, e steering.FlowEvent) {
 	o.opens.WithLabelValues(string(e.Kind)).Observe(e.After.Seconds())
--- a/internal/hub/observe.go
+++ b/internal/hub/observe.go
@@ -18,6 +18,7 @@
 	currentDesc     = newDesc("hub_current", "1 while this hub is in contact with a majority of the hubs.")
 	hubsDesc        = newDesc("hubs", "Hubs that the log names.")
 	sharedDesc      = newDesc("shared_doubts", "Targets that do not answer several entry VMs.")
+	overdueDesc     = newDesc("shared_overdue", "Targets at which requests of several entry VMs were overdue.")
 	unsavedDesc     = newDesc("failed_saves_total", "Failed writes of the published state.")
 	leftOutDesc     = newDesc("hub_log_lines_left_out_total", "Log lines of a hub left out because of their number.")
 	droppedDesc     = newDesc("hub_log_lines_dropped_total", "Log lines of a hub lost because the output was not read.")
@@ -26,7 +27,7 @@
 // Descriptions returns the descriptions of the metrics of a hub.
 func Descriptions() []*prometheus.Desc {
 	return []*prometheus.Desc{
-		targetsDesc, subscribersDesc, publishedDesc, currentDesc, hubsDesc, sharedDesc, unsavedDesc, leftOutDesc, droppedDesc,
+		targetsDesc, subscribersDesc, publishedDesc, currentDesc, hubsDesc, sharedDesc, overdueDesc, unsavedDesc, leftOutDesc, droppedDesc,
 	}
 }
 
@@ -77,6 +78,7 @@
 	gauge(currentDesc, current)
 	gauge(hubsDesc, float64(s.Hubs))
 	gauge(sharedDesc, float64(s.Shared))
+	gauge(overdueDesc, float64(s.Overdue))
 	counter(unsavedDesc, c.d.unsaved.Load())
 	counter(leftOutDesc, c.d.limiter.LeftOut())
 	counter(droppedDesc, c.d.LinesDropped())
--- a/pkg/steering/core.go
+++ b/pkg/steering/core.go
@@ -104,6 +104,9 @@
 	Observer interface {
 		// TargetDoubted is called with each target that begins not to answer.
 		TargetDoubted(t *Target)
+		// TargetOverdue is called with a flow whose response has not begun in time,
+		// where its target had no such flow lately.
+		TargetOverdue(k FlowKey, e FlowEvent)
 		// FlowOpened is called when a caller acknowledges the answer of a target.
 		FlowOpened(k FlowKey, e FlowEvent)
 		// FlowEnded is called when the caller ends a flow, and when its time is
@@ -132,6 +135,9 @@
 		Decisions map[Cause]uint64
 		Flows     int
 		Doubted   int
+		// Overdue is the number of targets that are avoided since requests were
+		// overdue there, at this VM or at several others.
+		Overdue int
 	}
 
 	// Core decides about packets. It is safe for concurrent use.
@@ -278,7 +284,7 @@
 	if !f.opened && p.Cookie != 0 {
 		c.opened(p.Flow, f, p.Cookie, now)
 	}
-	c.noteRequest(f, p, now)
+	c.noteRequest(p.Flow, f, p, now)
 	if p.End {
 		c.end(p.Flow, f, true, now)
 	}
@@ -375,7 +381,7 @@
 			over = true
 		}
 		if f.asked && !f.answered && !f.ended {
-			c.judge(f, now)
+			c.judge(k, f, now)
 		}
 		if over {
 			c.end(k, f, false, now)
@@ -390,7 +396,7 @@
 }
 
 // Stats returns the counters.
-func (c *Core) Stats() Stats {
+func (c *Core) Stats(now time.Time) Stats {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := Stats{Decisions: make(map[Cause]uint64, len(c.stats)), Flows: len(c.flows)}
@@ -402,5 +408,13 @@
 			s.Doubted++
 		}
 	}
+	if c.view == nil {
+		return s
+	}
+	for k, t := range c.view.targets {
+		if t.State != fleet.TargetGone && c.overdue(k, now) {
+			s.Overdue++
+		}
+	}
 	return s
 }
--- a/pkg/steering/core_test.go
+++ b/pkg/steering/core_test.go
@@ -49,6 +49,8 @@
 	now     time.Time
 	doubted []fleet.Incarnation
 	events  []FlowEvent
+	// late counts calls of TargetOverdue.
+	late int
 }
 
 func newScene(t *testing.T, records ...registry.Record) *scene {
@@ -60,6 +62,8 @@
 
 func (s *scene) TargetDoubted(t *Target) { s.doubted = append(s.doubted, t.ID.Incarnation) }
 
+func (s *scene) TargetOverdue(FlowKey, FlowEvent) { s.late++ }
+
 func (s *scene) FlowOpened(k FlowKey, e FlowEvent) { s.events = append(s.events, e) }
 
 func (s *scene) FlowEnded(k FlowKey, e FlowEvent) { s.events = append(s.events, e) }
@@ -312,7 +316,7 @@
 	}
 	s.now = s.now.Add(time.Minute)
 	s.core.Decide(&Packet{Flow: flowOf(1), Cookie: 1}, s.now)
-	if got := s.core.Stats().Flows; got != 0 {
+	if got := s.core.Stats(s.now).Flows; got != 0 {
 		t.Errorf("flows after a minute: got %d, want 0", got)
 	}
 }
@@ -391,11 +395,11 @@
 		s.now = s.now.Add(200 * time.Millisecond)
 		s.open(flowOf(n), 1)
 		told := len(s.core.Doubts())
-		if doubted := s.core.Stats().Doubted; doubted <= 5 && told != doubted || doubted > 5 && told != 0 {
+		if doubted := s.core.Stats(s.now).Doubted; doubted <= 5 && told != doubted || doubted > 5 && told != 0 {
 			t.Errorf("%d of 10 targets in doubt: told %d, want all up to 5 and none above", doubted, told)
 		}
 	}
-	if got := s.core.Stats().Doubted; got < 6 {
+	if got := s.core.Stats(s.now).Doubted; got < 6 {
 		t.Errorf("targets in doubt: got %d, want most", got)
 	}
 }
--- a/pkg/steering/overdue.go
+++ b/pkg/steering/overdue.go
@@ -21,12 +21,12 @@
 // noteRequest notices the request of a flow, the beginning of its response, and
 // callers that send several requests over one flow: data that follow after a part
 // of the response are another request.
-func (c *Core) noteRequest(f *flow, p *Packet, now time.Time) {
+func (c *Core) noteRequest(k FlowKey, f *flow, p *Packet, now time.Time) {
 	answered := f.asked && p.Acknowledged != f.askedAt
 	switch {
 	case answered && !f.answered:
 		f.answered = true
-		c.judge(f, now)
+		c.judge(k, f, now)
 	case p.Data > 0 && !f.asked:
 		f.asked, f.askedAt, f.askedTime = true, p.Acknowledged, now
 	}
@@ -37,11 +37,14 @@
 }
 
 // judge marks the target of a flow whose response did not begin in time.
-func (c *Core) judge(f *flow, now time.Time) {
+func (c *Core) judge(k FlowKey, f *flow, now time.Time) {
 	if f.late || now.Sub(f.askedTime) <= f.route.Objective {
 		return
 	}
 	f.late = true
+	if c.Observer != nil && !c.ownOverdue(f.target, now) {
+		c.Observer.TargetOverdue(k, c.event(f, now))
+	}
 	c.loadOf(f.target).overdue = now
 }
 
--- a/pkg/steering/overdue_test.go
+++ b/pkg/steering/overdue_test.go
@@ -54,6 +54,9 @@
 		if got := s.core.Overdue(s.now); len(got) != 1 || got[0] != slow {
 			t.Errorf("%s: got overdue targets %v, want %d", name, got, slow)
 		}
+		if n := s.core.Stats(s.now).Overdue; s.late != 1 || n != 1 {
+			t.Errorf("%s: got %d events and %d targets, want 1 and 1", name, s.late, n)
+		}
 		s.now = s.now.Add(overdueMemory)
 		for n := range 8 {
 			s.core.Decide(&Packet{Flow: flowOf(n), Cookie: CookieOf(1), Acknowledged: 500, End: true}, s.now)
