Count no return by an owner of an earlier epoch, and start no order at an inferred place

Change: returns by a VM with an earlier view are dropped; an entry that a later packet has made takes no start packet of a non-idempotent request.

--- a/pkg/balancer/flow.go
+++ b/pkg/balancer/flow.go
@@ -94,6 +94,9 @@
 		b.lose(i, now)
 		return b.unknownResult(i, p, now, out)
 	}
+	if p.Start && e.flags&flagInferred != 0 {
+		return b.drop(p, CauseUnknownResult, out)
+	}
 	if p.Start && e.state == stateEnded {
 		return b.drop(p, CauseEnded, out)
 	}
--- a/pkg/balancer/offer.go
+++ b/pkg/balancer/offer.go
@@ -156,8 +156,12 @@
 	return b.known(i, p, now, out)
 }
 
-// returnOffer answers an offer; the epoch tells the other VM which offer.
+// returnOffer answers an offer; the epoch tells the other VM which offer. An owner
+// of an earlier epoch does not speak for the one of the offer's epoch.
 func (b *Balancer) returnOffer(p *Packet, out []Action) []Action {
+	if p.Header.Epoch > b.view.Epoch && b.view.Member(p.Header.Origin) != nil {
+		return b.drop(p, CauseStale, out)
+	}
 	b.stats.Returned++
 	h := PassHeader{Mode: Returned, Target: p.Header.Target, Epoch: p.Header.Epoch, Origin: p.Header.Origin}
 	if at, ok := b.places.at[h.Target]; ok && b.places.all[at].limiter != nil {
--- a/pkg/balancer/random_test.go
+++ b/pkg/balancer/random_test.go
@@ -166,6 +166,10 @@
 		50413: "the memory of a returned offer ends with that of an earlier request on the port",
 		50705: "a VM decides by a return although another VM owned the place meanwhile",
 		52467: "a late duplicate of a passed order is adopted by the place's next owner",
+		61178: "a return by an owner of an earlier epoch counts as that of the present one",
+		61400: "a return by an owner of an earlier epoch counts as that of the present one",
+		61628: "a late start packet runs where a later packet of the flow was adopted",
+		62376: "a held start packet runs where a later packet of the flow was adopted",
 		41013: "a VM that was paused while it joined passes packets that waited",
 	} {
 		t.Run(fmt.Sprintf("%d: %s", seed, fault), func(t *testing.T) {
--- a/pkg/balancer/route.go
+++ b/pkg/balancer/route.go
@@ -223,6 +223,9 @@
 		return b.drop(p, CauseTableFull, out)
 	}
 	b.adoptEntry(i, eventAdopt, now)
+	if !p.Start && !l.Kind.Idempotent {
+		b.flows.entries[i].flags |= flagInferred
+	}
 	out = b.forward(p, b.places.all[at].id, out)
 	b.record(timeline.KindFlow, "Adopted", timeline.Event{Flow: p.Flow.String(), Target: b.places.all[at].id.String()}, now)
 	b.callerEnd(i, p, now)
--- a/pkg/balancer/table.go
+++ b/pkg/balancer/table.go
@@ -24,6 +24,9 @@
 	flagReplicated
 	// flagRetried is set on a flow that waits for the retry of a shed request.
 	flagRetried
+	// flagInferred: the flow was adopted by a packet that does not start it, so
+	// that its place is inferred. A non-idempotent request does not start there.
+	flagInferred
 )
 
 // noEntry marks the end of a list and a missing entry.
