Greet subscribers before updates, and leave hubs without a catalog

Cause: two control VMs had lost their disks, and one of them was the first to start. 111 of 118 entry VMs connected to it and dropped 12,000 packets for 1.5 s (cause NoCatalog) until it had the catalog, 2,000 routes, from others and had sent it to all of them. Ruled out: elections (served before them), slow links as such (VMs at other hubs served after 0.1 s). Failed trial: VMs without a catalog ask other hubs again and again. Change: a publisher answers a Hello with a short greeting, the number of its catalog and whether it has a majority, and sends updates only to the subscriber that begins. A VM without a catalog prefers hubs that have one, and looks again after 0.2, 0.4 s and so on. Asking several hubs at once now costs some hundred bytes. Tests: TestHubWithoutCatalog fails on the former code.

--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -259,6 +259,13 @@
 	return n > len(b.hubs)/2, b.acked
 }
 
+// greeting returns what a new subscriber is told first.
+func (b *Board) greeting() *Greeting {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return &Greeting{Number: b.catalog.Number(), Current: b.current}
+}
+
 // next returns the update that a subscriber needs, or nil where nothing has
 // changed for it.
 func (b *Board) next(c *cursor, now time.Time) *Update {
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -40,6 +40,16 @@
 		Number catalog.Number `cbor:"4,keyasint"`
 	}
 
+	// Greeting is the response to a Hello. Subscribers compare publishers by it
+	// before they ask one of them for updates, which may be large.
+	Greeting struct {
+		// Number is that of the publisher's catalog, 0 where it has none.
+		Number catalog.Number `cbor:"1,keyasint"`
+		// Current is set while the publisher is in contact with a majority of the
+		// control VMs.
+		Current bool `cbor:"2,keyasint,omitempty"`
+	}
+
 	// Update tells a subscriber what has changed.
 	Update struct {
 		// Catalog is nil where it has not changed.
@@ -82,7 +92,8 @@
 		Zone fleet.ZoneID `cbor:"2,keyasint,omitempty"`
 	}
 
-	// Ack tells a publisher what its subscriber has taken over.
+	// Ack tells a publisher what its subscriber has taken over. The first one asks
+	// for updates.
 	Ack struct {
 		Version registry.Version `cbor:"1,keyasint"`
 		Number  catalog.Number   `cbor:"2,keyasint"`
@@ -130,5 +141,8 @@
 	return nil
 }
 
+// Validate accepts every greeting.
+func (*Greeting) Validate() error { return nil }
+
 // Validate accepts every acknowledgement.
 func (*Ack) Validate() error { return nil }
--- a/internal/feed/publisher.go
+++ b/internal/feed/publisher.go
@@ -75,6 +75,13 @@
 	if hello.Role == Control {
 		p.Board.introduce(hello.VM, hello.Zone)
 	}
+	if write(steady, p.Board.greeting()) != nil {
+		return
+	}
+	begin := new(Ack)
+	if read(steady, begin) != nil {
+		return
+	}
 	go func() {
 		defer cancel()
 		p.receive(steady, &hello)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -33,8 +33,11 @@
 	// staleLimit is the time for which a feed is kept although its hub has no
 	// contact with a majority: an election may be going on.
 	staleLimit = time.Second
-	// searchInterval is the time between two searches for a better hub.
+	// searchInterval is the time between two searches for a better hub. While this
+	// VM has no catalog it begins at emptyInterval and doubles: others may have one,
+	// or nobody, before the first configuration.
 	searchInterval = 2 * time.Second
+	emptyInterval  = 200 * time.Millisecond
 )
 
 type (
@@ -64,11 +67,10 @@
 		feeds            atomic.Uint64
 	}
 
-	// source is a hub whose feed has begun.
+	// source is a hub that has answered.
 	source struct {
-		hub   fleet.VMID
-		feed  *feed.Subscription
-		first *feed.Update
+		hub  fleet.VMID
+		feed *feed.Subscription
 	}
 )
 
@@ -130,8 +132,10 @@
 }
 
 // search asks hubs one after the other, without waiting for those that are
-// slow, and all of them again where none answers. It returns the first that is in
-// contact with a majority, else one that has answered, or nil.
+// slow, and all of them again where none answers with a catalog. It returns the
+// first that is in contact with a majority, else one that has answered, or nil.
+// While this VM has no catalog, a hub that has none either, since it lost its disk,
+// comes last.
 func (f *follower) search(ctx context.Context, candidates []fleet.VMID, rounds int) *source {
 	number := f.number()
 	total := rounds * len(candidates)
@@ -143,7 +147,7 @@
 	for asked < total || pending > 0 {
 		select {
 		case <-next.C:
-			if asked == total || best != nil && asked >= len(candidates) {
+			if asked == total || best.usable(number) && asked >= len(candidates) {
 				// One that has answered is better than one that may never do.
 				closeLater(answers, pending)
 				return best
@@ -157,8 +161,8 @@
 			}
 		case s := <-answers:
 			pending--
-			best = better(best, s)
-			if best != nil && best.first.Current {
+			best = better(best, s, number)
+			if best.usable(number) && best.feed.Greeting.Current {
 				closeLater(answers, pending)
 				return best
 			}
@@ -168,10 +172,30 @@
 	return best
 }
 
+// usable reports whether a VM with the catalog of a number can forward packets by
+// what the source has.
+func (s *source) usable(number catalog.Number) bool {
+	return s != nil && (number > 0 || s.feed.Greeting.Number > 0)
+}
+
+// rank orders sources: usable ones first, then those whose hub is in contact with
+// a majority.
+func (s *source) rank(number catalog.Number) int {
+	switch {
+	case s == nil:
+		return 0
+	case !s.usable(number):
+		return 1
+	case !s.feed.Greeting.Current:
+		return 2
+	}
+	return 3
+}
+
 // better returns the better of two sources, of which any may be nil, and closes
 // the other one.
-func better(a, b *source) *source {
-	if a == nil || b != nil && b.first.Current && !a.first.Current {
+func better(a, b *source, number catalog.Number) *source {
+	if b.rank(number) > a.rank(number) {
 		a, b = b, a
 	}
 	if b != nil {
@@ -184,7 +208,7 @@
 func closeLater(answers <-chan *source, n int) {
 	go func() {
 		for range n {
-			better(nil, <-answers).close()
+			(<-answers).close()
 		}
 	}()
 }
@@ -195,7 +219,7 @@
 	}
 }
 
-// open begins the feed of a hub; it returns nil where that fails.
+// open asks a hub for its feed; it returns nil where that fails.
 func (f *follower) open(ctx context.Context, id fleet.VMID, number catalog.Number) *source {
 	hello := f.Hello
 	hello.Number = number
@@ -203,12 +227,7 @@
 	if err != nil {
 		return nil
 	}
-	first, err := sub.Next()
-	if err != nil {
-		sub.Close()
-		return nil
-	}
-	return &source{hub: id, feed: sub, first: first}
+	return &source{hub: id, feed: sub}
 }
 
 // follow takes the updates of a source until its feed fails or a better one is
@@ -217,27 +236,36 @@
 	defer s.feed.Close()
 	// What others doubt is not known without a feed.
 	defer f.Core.SetShared(nil, nil)
+	u, err := s.feed.Next()
+	if err != nil {
+		f.Log.Warn("feed lost", zap.String(logging.Hub, string(s.hub)), zap.Error(err))
+		return nil
+	}
 	f.feeds.Add(1)
-	f.Log.Info("feed connected", zap.String(logging.Hub, string(s.hub)), zap.Bool("Current", s.first.Current),
-		zap.Bool("Complete", s.first.Complete), zap.Int("Targets", len(s.first.Records)))
+	f.Log.Info("feed connected", zap.String(logging.Hub, string(s.hub)), zap.Bool("Current", u.Current),
+		zap.Bool("Complete", u.Complete), zap.Int("Targets", len(u.Records)))
 	var found chan *source
 	var searched, current time.Time
-	for u := s.first; ; {
+	pause := emptyInterval
+	for {
 		now := time.Now()
-		err := f.take(u, now)
+		err = f.take(u, now)
 		if u.Current || current.IsZero() {
 			current = now
 		}
 		stale := now.Sub(current) > staleLimit
-		if found == nil && now.Sub(searched) > searchInterval && (stale || f.away(s.hub)) {
-			searched = now
+		number := f.number()
+		due := now.Sub(searched) > searchInterval && (stale || f.away(s.hub)) ||
+			number == 0 && now.Sub(searched) > pause
+		if found == nil && due {
+			searched, pause = now, min(2*pause, searchInterval)
 			found = make(chan *source, 1)
-			go func(near bool) { found <- f.search(ctx, f.candidates(near), 1) }(!stale)
+			go func(near bool) { found <- f.search(ctx, f.candidates(near), 1) }(!stale && number > 0)
 		}
 		select {
 		case n := <-found:
 			found = nil
-			if n != nil && n.first.Current {
+			if n.usable(number) && (n.feed.Greeting.Current || number == 0) {
 				return n
 			}
 			n.close()
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -11,6 +11,7 @@
 
 	"bamboowalk.org/bamboowalk/internal/feed"
 	"bamboowalk.org/bamboowalk/internal/hub"
+	"bamboowalk.org/bamboowalk/pkg/catalog"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/registry"
 	"bamboowalk.org/bamboowalk/pkg/steering"
@@ -31,6 +32,51 @@
 	return l.Listener.Accept()
 }
 
+// Guards against entry VMs that stay without a catalog at a hub that has lost its
+// disk and was the first to start, although others have one.
+func TestHubWithoutCatalog(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	now := time.Now()
+	empty := publishOn(t, ctx, "127.0.0.1:0", nil)
+	full := publishOn(t, ctx, netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), empty.Port()).String(), &catalog.Catalog{Number: 7})
+	f := &follower{
+		Hello: feed.Hello{VM: "front-1", Zone: "z0", Role: feed.Entry}, Port: empty.Port(), Log: zap.NewNop(),
+		Core:  steering.New("z0", nil),
+		Apply: func(*mirror, time.Time) {},
+	}
+	f.setSeeds([]netip.AddrPort{empty})
+	go f.run(ctx)
+	for f.feeds.Load() == 0 && time.Since(now) < feed.SilenceLimit {
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.setSeeds([]netip.AddrPort{empty, full})
+	for f.number() == 0 && time.Since(now) < 2*feed.SilenceLimit {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if got := f.number(); got != 7 {
+		t.Errorf("after %v: got catalog %d, want 7", time.Since(now), got)
+	}
+}
+
+// publishOn starts a hub's feed on an address, with a catalog that may be nil.
+func publishOn(t *testing.T, ctx context.Context, address string, c *catalog.Catalog) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := l.Addr().(*net.TCPAddr).AddrPort()
+	now := time.Now()
+	board := feed.NewBoard(feed.Hub{VM: hub.IDOf(at), Zone: "z0"}, registry.New(time.Minute, now), now)
+	if c != nil {
+		board.SetCatalog(c)
+	}
+	p := &feed.Publisher{Board: board, Listener: l}
+	go p.Run(ctx)
+	return at
+}
+
 // Guards against entry VMs that wait for a hub that was down when they asked,
 // although it has started since.
 func TestHubStartsLater(t *testing.T) {
--- /dev/null
+++ b/pkg/steering/bench_test.go
@@ -0,0 +1,60 @@
+package steering
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/registry"
+)
+
+// BenchmarkOpen measures the decision about a flow's opening packet, and its end,
+// by the number of the service's targets.
+func BenchmarkOpen(b *testing.B) {
+	for _, n := range []int{15, 120, 1440} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := New("z0", rand.New(rand.NewPCG(1, 1)))
+			var records []registry.Record
+			for id := range n {
+				rec := target(fleet.Incarnation(id+1), "counter", "z0")
+				rec.Target.ID.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(id >> 8), byte(id)}), 8080)
+				records = append(records, rec)
+			}
+			c.SetView(NewView(testCatalog(), records, start))
+			f := flowOf(1)
+			for b.Loop() {
+				d := c.Decide(&Packet{Flow: f, Opening: true}, start)
+				c.Decide(&Packet{Flow: f, Cookie: d.Target.Cookie, End: true}, start)
+				delete(c.flows, f)
+			}
+		})
+	}
+}
+
+// BenchmarkForward measures the decision about a packet of an open flow.
+func BenchmarkForward(b *testing.B) {
+	c := New("z0", rand.New(rand.NewPCG(1, 1)))
+	c.SetView(NewView(testCatalog(), []registry.Record{target(1, "counter", "z0")}, start))
+	p := &Packet{Flow: flowOf(1), Cookie: CookieOf(1)}
+	for b.Loop() {
+		c.Decide(p, start)
+	}
+}
+
+// BenchmarkView measures a new view, by the number of targets.
+func BenchmarkView(b *testing.B) {
+	for _, n := range []int{18, 150, 1440, 23000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			var records []registry.Record
+			for id := range n {
+				records = append(records, target(fleet.Incarnation(id+1), "counter", "z0"))
+			}
+			for b.Loop() {
+				NewView(testCatalog(), records, start)
+			}
+		})
+	}
+}
