Bound the attempts of entry VMs at hubs, and survive used up descriptors

Each entry VM held 25 to 33 connections to hubs, since attempts go on each 40 ms while hubs are slow to answer, and hubs ended where they could not accept another connection (4,096 descriptors). Tests: TestAcceptFails fails on the former code; TestHubStartsLater still holds.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -293,6 +294,41 @@
 	subs[2].until("overdue at one VM", sharedOverdue())
 }
 
+// failingListener fails once, as one does while descriptors are used up.
+type failingListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a hub that ends since it could not accept one connection.
+func TestAcceptFails(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	p := &Publisher{
+		Board:    NewBoard(Hub{VM: "a", Zone: "z0"}, registry.New(time.Minute, now), now),
+		Listener: &failingListener{Listener: l},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	open(t, l.Addr().String(), &Hello{VM: "e", Zone: "z0", Role: Entry}).until("first update", func(*Update) bool { return true })
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against a publisher that garbage stops, and against messages that make
 // a reader take any amount of memory.
 func TestGarbage(t *testing.T) {
--- a/internal/feed/publisher.go
+++ b/internal/feed/publisher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -16,6 +17,8 @@
 	// maxSubscribers bounds the connections; at the design scale 2,900 entry
 	// VMs share 16 control VMs, of which some may be down.
 	maxSubscribers = 1024
+	// acceptPause is the pause after a connection could not be accepted.
+	acceptPause = 100 * time.Millisecond
 )
 
 // Publisher serves the subscribers of a board. Exported fields are set before
@@ -45,9 +48,14 @@
 			}
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return err
 		}
+		if err != nil {
+			// Descriptors may be used up for a while.
+			time.Sleep(acceptPause)
+			continue
+		}
 		if p.subscribers.Load() >= maxSubscribers {
 			conn.Close()
 			continue
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -30,6 +30,9 @@
 	// searchRounds is how often each hub is tried in one search, since a first
 	// packet to a VM that has no power yet is lost without an error.
 	searchRounds = 3
+	// maxAttempts bounds the attempts that run at once: hubs that are slow since
+	// many VMs ask them would become slower.
+	maxAttempts = 4
 	// staleLimit is the time for which a feed is kept although its hub has no
 	// contact with a majority: an election may be going on.
 	staleLimit = time.Second
@@ -152,6 +155,9 @@
 				closeLater(answers, pending)
 				return best
 			}
+			if pending == maxAttempts {
+				continue
+			}
 			id := candidates[asked%len(candidates)]
 			asked++
 			pending++
--- a/internal/replication/transport.go
+++ b/internal/replication/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"fmt"
 	"net"
 	"net/rpc"
@@ -17,6 +18,8 @@
 )
 
 const (
+	// acceptPause is the pause after a connection could not be accepted.
+	acceptPause = 100 * time.Millisecond
 	serviceName = "Replica"
 	deliverCall = serviceName + ".Deliver"
 
@@ -159,9 +162,14 @@
 			}
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return &PeerError{Peer: t.Self, Op: "accept connections as", Err: err}
 		}
+		if err != nil {
+			// Descriptors may be used up for a while.
+			time.Sleep(acceptPause)
+			continue
+		}
 		if !t.track(conn) {
 			t.counters.rejected.Add(1)
 			conn.Close()
