--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,6 +60,49 @@
 	}
 }
 
+// Guards against many entry VMs that open connection after connection to hubs which
+// are slow since many ask them.
+func TestFewAttempts(t *testing.T) {
+	const hubs = 8
+	var accepted atomic.Int64
+	var seeds []netip.AddrPort
+	port := uint16(0)
+	for i := range hubs {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), port)
+		l, err := net.Listen("tcp", address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		at := l.Addr().(*net.TCPAddr).AddrPort()
+		port, seeds = at.Port(), append(seeds, at)
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				accepted.Add(1)
+			}
+		}()
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	f := &follower{
+		Hello: feed.Hello{VM: "front-1", Zone: "z0", Role: feed.Entry}, Port: port, Log: zap.NewNop(),
+		Core: steering.New("z0", nil), Apply: func(*mirror, time.Time) {},
+	}
+	f.setSeeds(seeds)
+	done := make(chan error, 1)
+	go func() { done <- f.run(ctx) }()
+	time.Sleep(feed.SilenceLimit / 2)
+	if n := accepted.Load(); n > hubs/2 {
+		t.Errorf("got %d connections to %d silent hubs, want at most %d", n, hubs, hubs/2)
+	}
+	cancel()
+	<-done
+}
+
 // publishOn starts a hub's feed on an address, with a catalog that may be nil.
 func publishOn(t *testing.T, ctx context.Context, address string, c *catalog.Catalog) netip.AddrPort {
 	t.Helper()
