--- a/internal/feed/doc.go
+++ b/internal/feed/doc.go
@@ -2,8 +2,9 @@
 // VMs to entry VMs, and the registry between control VMs.
 //
 // A subscriber opens a TCP connection to a control VM and says who it is. The
-// publisher sends all it knows, then what changes, and a beat where nothing
-// does. Entry VMs get what matters for forwarding; control VMs also get each
+// publisher greets it with the number of its catalog, by which the subscriber
+// chooses among several. To the one that begins it sends all it knows, then what
+// changes, and a beat where nothing does. Entry VMs get what matters for forwarding; control VMs also get each
 // announcement, since they decide together which targets are silent.
 // Subscribers acknowledge each update. A subscriber that hears nothing for
 // SilenceLimit takes the connection for dead and goes to another control VM.
--- a/internal/feed/publisher.go
+++ b/internal/feed/publisher.go
@@ -86,8 +86,8 @@
 	if write(steady, p.Board.greeting()) != nil {
 		return
 	}
-	begin := new(Ack)
-	if read(steady, begin) != nil {
+	// A subscriber that has chosen another publisher closes the connection here.
+	if read(steady, new(Ack)) != nil {
 		return
 	}
 	go func() {
