Tests: two tests of the feed and of the hubs no longer depend on who is first

Change: a connection that the publisher has closed already is accepted, which the test's comment allowed; what it checks, that the publisher goes on serving, is unchanged. TestPutAndGet waits until each hub knows a leader. A hub that serves reads beside the leader, or another error, still fails it at once.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -343,7 +343,8 @@
 		if _, err := conn.Write(malformed); err != nil {
 			t.Fatal(err)
 		}
-		if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		// The publisher may have reset the connection already.
+		if err := conn.(*net.TCPConn).CloseWrite(); err != nil && !errors.Is(err, syscall.ENOTCONN) {
 			t.Fatal(err)
 		}
 		// The publisher closes or resets the connection.
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -218,20 +218,26 @@
 	c.startAll(true)
 	c.put(5, 0, 1, 2)
 	c.get(5, 0, 1, 2)
-	leaders := 0
-	for _, r := range c.hubs {
-		_, err := r.Get(context.Background())
-		var notLeader *NotLeaderError
-		switch {
-		case err == nil:
-			leaders++
-		case !errors.As(err, &notLeader) || notLeader.Leader == "":
-			t.Errorf("Get at a follower: got %v, want a NotLeaderError with the leader's ID", err)
+	// put and get need a majority only; the third hub may not know the leader yet.
+	c.eventually("each hub knows the leader", func() error {
+		leaders := 0
+		for i, r := range c.hubs {
+			_, err := r.Get(context.Background())
+			var notLeader *NotLeaderError
+			switch {
+			case err == nil:
+				leaders++
+			case !errors.As(err, &notLeader):
+				t.Fatalf("Get at hub %d: got %v, want a NotLeaderError", i, err)
+			case notLeader.Leader == "":
+				return err
+			}
 		}
-	}
-	if leaders != 1 {
-		t.Errorf("hubs that serve reads: got %d, want 1", leaders)
-	}
+		if leaders != 1 {
+			t.Fatalf("hubs that serve reads: got %d, want 1", leaders)
+		}
+		return nil
+	})
 	// A document with a lower number is acknowledged but has no effect.
 	c.put(3, 0, 1, 2)
 	c.get(5, 0, 1, 2)
