feed: renewals as lists of ids, and updates encoded once for all subscribers

Each announcement, also one that changed nothing and one at second hand, woke the feeds of all other hubs, which searched all targets each time and sent whole records; each change was searched for and encoded once for each entry VM.

Ruled out: the HTTP call of a target.

Change: pkg/registry keeps its entries in the order of their changes and of their renewals, so that a query costs what it returns. A renewal is no change: hubs list the ids of the targets heard since the last heartbeat, and leave out what the other hub receives from the hub that heard it. A feed has one state at a time, sealed at most every 20 ms, and an update between two states is encoded once; the full state for new subscribers is kept for 500 ms.

Hubs of this and earlier versions beside each other don't learn of each other's renewals: targets of the other one count as silent during such an update, up to a quarter of a service.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -216,12 +216,19 @@
 	if other.Number() != 4 || other.Targets() != 1 {
 		t.Errorf("got catalog %d and %d targets, want 4 and 1", other.Number(), other.Targets())
 	}
-	// Hubs also send announcements that only renew a target, because the other
-	// hubs would mark the target as silent without them.
+	// Hubs also tell each other which targets have renewed their announcements,
+	// because the other hubs would mark these targets as silent otherwise.
 	if _, err := store.Merge(record(1, 8, fleet.TargetReady), time.Now()); err != nil {
 		t.Fatal(err)
 	}
-	s.waitUpdate("announcement", func(u *Update) bool { return len(u.Records) == 1 && u.Records[0].Sequence == 8 })
+	u = s.waitUpdate("announcement", func(u *Update) bool { return len(u.Heard) == 1 && u.Heard[0].Target == 1 })
+	later := time.Now().Add(other.targets.SilenceLimit - time.Millisecond)
+	if err := other.ApplyUpdate("a", u, later); err != nil {
+		t.Fatal(err)
+	}
+	if rec := other.targets.Changes(0, later); rec[0].Age > other.targets.SilenceLimit/2 {
+		t.Errorf("after a renewal at the other hub: got a target last heard %v ago, want less", rec[0].Age)
+	}
 	bad := &Update{Catalog: &catalog.Delta{From: 1, To: 9}}
 	var delta *catalog.DeltaError
 	if err := other.ApplyUpdate("a", bad, time.Now()); !errors.As(err, &delta) {
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -23,6 +23,9 @@
 	// chunkSize is the maximum number of bytes in a chunk of a frame. Each chunk
 	// must be written within IdleTimeout. The links of entry VMs carry ten times as much in that time.
 	chunkSize = 16 << 10
+	// readBufferSize is the size in bytes of the buffer of a connection. Most
+	// messages are smaller, and are then read with one system call.
+	readBufferSize = 512
 )
 
 type (
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -76,6 +76,10 @@
 		Hubs []Hub `cbor:"7,keyasint,omitempty"`
 		// Reports is nil if the reports have not changed.
 		Reports *Reports `cbor:"8,keyasint,omitempty"`
+		// Heard lists the targets that have renewed their announcements since the
+		// last heartbeat. It is sent only to hubs, in heartbeats. Renewals that
+		// reached the publisher through a hub in Ack.Sources are left out.
+		Heard []registry.Heard `cbor:"9,keyasint,omitempty"`
 	}
 
 	// Reports holds the aggregated reports of entry VMs about targets.
@@ -113,6 +117,9 @@
 		// Overdue lists the targets at which requests that the entry VM forwarded
 		// were recently overdue.
 		Overdue []fleet.Incarnation `cbor:"4,keyasint,omitempty"`
+		// Sources lists the hubs whose feeds a hub receives. It is empty if the
+		// list has not changed since the last Ack of the connection.
+		Sources []fleet.VMID `cbor:"5,keyasint,omitempty"`
 	}
 
 	// MessageError reports a message that can't be encoded or decoded, or that is
--- a/internal/feed/publisher.go
+++ b/internal/feed/publisher.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -11,9 +12,6 @@
 )
 
 const (
-	// updateInterval is the minimum time between two updates to one subscriber,
-	// so that changes in quick succession are sent as one update.
-	updateInterval = 20 * time.Millisecond
 	// maxSubscribers is the maximum number of connections; at the design scale,
 	// 2,900 entry VMs share 16 control VMs, some of which may be down.
 	maxSubscribers = 1024
@@ -77,8 +75,9 @@
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	timedConn := stallTimeoutConn{conn}
+	r := bufio.NewReaderSize(timedConn, readBufferSize)
 	var hello Hello
-	if read(timedConn, &hello) != nil {
+	if read(r, &hello) != nil {
 		return
 	}
 	if hello.Role == Control {
@@ -89,16 +88,16 @@
 	}
 	// A subscriber that has chosen another publisher closes the connection
 	// instead of sending an Ack.
-	if read(timedConn, new(Ack)) != nil {
+	if read(r, new(Ack)) != nil {
 		return
 	}
 	go func() {
 		defer cancel()
-		p.receive(timedConn, &hello)
+		p.receive(r, &hello)
 	}()
 	p.Store.addSubscribers(hello.Role, 1)
 	defer p.Store.addSubscribers(hello.Role, -1)
-	c := &cursor{role: hello.Role, number: hello.Number}
+	c := &cursor{vm: hello.VM, role: hello.Role, state: state{number: hello.Number}}
 	p.send(ctx, timedConn, c)
 	if hello.Role == Control {
 		p.Store.removeAck(hello.VM)
@@ -115,39 +114,57 @@
 			return
 		}
 		if hello.Role == Control {
-			p.Store.recordAck(hello.VM, ack.Version)
+			p.Store.recordAck(hello.VM, &ack)
 		} else {
 			p.Store.report(hello.VM, &ack)
 		}
 	}
 }
 
+// send sends updates to a subscriber. Heartbeats to hubs are sent at a fixed
+// interval, because they carry the renewals of targets; those to entry VMs only
+// while nothing changes.
 func (p *Publisher) send(ctx context.Context, conn io.Writer, c *cursor) {
-	heartbeat := time.NewTimer(0)
+	heartbeat := time.NewTimer(HeartbeatInterval)
 	defer heartbeat.Stop()
-	var changed <-chan struct{}
-	for {
-		heartbeatDue := false
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		case <-heartbeat.C:
-			heartbeatDue = true
-		}
-		changed = p.Store.changeChan(c.role)
-		now := time.Now()
-		u := p.Store.next(c, now)
+	for ctx.Err() == nil {
+		changed := p.Store.changeChan(c.role)
+		frame, wait, err := p.Store.next(c, time.Now())
 		switch {
-		case u == nil && !heartbeatDue:
-			continue
-		case u == nil:
-			u = p.Store.heartbeat(c)
+		case err != nil:
+			return
+		case frame != nil:
+			if c.role == Entry {
+				heartbeat.Reset(HeartbeatInterval)
+			}
+		default:
+			if !p.await(ctx, changed, heartbeat.C, wait) {
+				continue
+			}
+			heartbeat.Reset(HeartbeatInterval)
+			if frame, err = p.Store.heartbeat(c, time.Now()); err != nil {
+				return
+			}
 		}
-		if write(conn, u) != nil {
+		if _, err := conn.Write(frame); err != nil {
 			return
 		}
-		heartbeat.Reset(HeartbeatInterval)
-		time.Sleep(updateInterval)
 	}
 }
+
+// await waits for a change, for the next heartbeat or, if wait is not 0, for that
+// time, and reports whether the heartbeat is due.
+func (p *Publisher) await(ctx context.Context, changed <-chan struct{}, heartbeat <-chan time.Time, wait time.Duration) bool {
+	var waited <-chan time.Time
+	if wait > 0 {
+		changed, waited = nil, time.After(wait)
+	}
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-waited:
+	case <-heartbeat:
+		return true
+	}
+	return false
+}
--- a/internal/feed/reports.go
+++ b/internal/feed/reports.go
@@ -118,20 +118,21 @@
 		reports.dirty = false
 		localChanged, sharedChanged := reports.aggregate()
 		if sharedChanged {
-			s.broadcast(&s.entryChanged)
+			s.entryFeed.notify()
 		}
 		if localChanged {
-			s.broadcast(&s.controlChanged)
+			s.controlFeed.notify()
 		}
 	}
 }
 
 // RemoveHub removes the report counts and the number of entry VMs that a hub has
-// sent. It is called when the feed of that hub has ended.
+// sent, and the hub from the sources. It is called when the feed of that hub has ended.
 func (s *Store) RemoveHub(hub fleet.VMID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.suspected.removeHub(hub)
 	s.overdue.removeHub(hub)
 	delete(s.entryVMsByHub, hub)
+	delete(s.sources, hub)
 }
--- a/internal/feed/saved.go
+++ b/internal/feed/saved.go
@@ -22,7 +22,7 @@
 func (s *Store) StateVersion() StateVersion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return StateVersion{targetVersion: s.targets.ChangeVersion(), catalogNumber: s.catalog.Number()}
+	return StateVersion{targetVersion: s.targets.Version(), catalogNumber: s.catalog.Number()}
 }
 
 // Number returns the number of the catalog, 0 if there is none.
@@ -43,7 +43,7 @@
 // decodes. It returns a MessageError if they can't be encoded.
 func (s *Store) Encode(now time.Time) ([]byte, error) {
 	s.mu.Lock()
-	u := &Update{Catalog: s.catalog.Delta(0), Records: s.targets.Updates(0, now)}
+	u := &Update{Catalog: s.catalog.Delta(0), Records: s.targets.Changes(0, now)}
 	s.mu.Unlock()
 	data, err := cbor.Marshal(u)
 	if err != nil {
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -28,9 +28,8 @@
 	// after the start, so that every live target has had time to announce itself,
 	// or earlier if another hub has sent its full and complete state.
 	completeAt time.Time
-	// entryChanged and controlChanged are closed and replaced at each change that
-	// is sent to entry VMs and to control VMs, respectively.
-	entryChanged, controlChanged chan struct{}
+	// entryFeed and controlFeed are the feeds of entry VMs and of control VMs.
+	entryFeed, controlFeed feedState
 	// ackedVersions holds the last version that each connected control VM has
 	// acknowledged; acked is closed and replaced at each acknowledgement.
 	ackedVersions map[fleet.VMID]registry.Version
@@ -43,63 +42,35 @@
 	// entryVMsByHub holds, for each of the other hubs, the number of entry VMs that are
 	// connected to that hub.
 	entryVMsByHub map[fleet.VMID]int
-}
-
-// cursor is the state that has been sent to a subscriber.
-type cursor struct {
-	role     Role
-	version  registry.Version
-	number   catalog.Number
-	started  bool
-	complete bool
-	current  bool
-	hubs     []Hub
-	reports  Reports
+	// sources holds the hubs whose feeds this hub receives, and followed, for each
+	// connected control VM, the hubs whose feeds that VM receives.
+	sources  map[fleet.VMID]bool
+	followed map[fleet.VMID]map[fleet.VMID]bool
 }
 
 // NewStore returns a store of the hub self, without a catalog.
 func NewStore(self Hub, targets *registry.Registry, now time.Time) *Store {
 	return &Store{
-		zones:          map[fleet.VMID]fleet.ZoneID{self.VM: self.Zone},
-		targets:        targets,
-		completeAt:     now.Add(targets.SilenceLimit),
-		entryChanged:   make(chan struct{}),
-		controlChanged: make(chan struct{}),
-		ackedVersions:  make(map[fleet.VMID]registry.Version),
-		acked:          make(chan struct{}),
-		suspected:      newTargetReports(),
-		overdue:        newTargetReports(),
-		subscribers:    map[Role]int{Entry: 0, Control: 0},
-		entryVMsByHub:  make(map[fleet.VMID]int),
-	}
-}
-
-// changeChan returns a channel that is closed at the next change that subscribers
-// of a role receive.
-func (s *Store) changeChan(r Role) <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if r == Control {
-		return s.controlChanged
+		zones:         map[fleet.VMID]fleet.ZoneID{self.VM: self.Zone},
+		targets:       targets,
+		completeAt:    now.Add(targets.SilenceLimit),
+		entryFeed:     newFeedState(Entry),
+		controlFeed:   newFeedState(Control),
+		ackedVersions: make(map[fleet.VMID]registry.Version),
+		acked:         make(chan struct{}),
+		suspected:     newTargetReports(),
+		overdue:       newTargetReports(),
+		subscribers:   map[Role]int{Entry: 0, Control: 0},
+		entryVMsByHub: make(map[fleet.VMID]int),
+		sources:       make(map[fleet.VMID]bool),
+		followed:      make(map[fleet.VMID]map[fleet.VMID]bool),
 	}
-	return s.entryChanged
 }
 
-// notify wakes the subscribers after a change. If targetsOnly is set, only
-// targets may have changed, and before is the change version of the registry
-// before the change. Entry VMs are then woken only if the change version has
-// increased, because they do not receive announcements that only renew a
-// target.
-func (s *Store) notify(targetsOnly bool, before registry.Version) {
-	s.broadcast(&s.controlChanged)
-	if !targetsOnly || s.targets.ChangeVersion() > before {
-		s.broadcast(&s.entryChanged)
-	}
-}
-
-func (s *Store) broadcast(c *chan struct{}) {
-	close(*c)
-	*c = make(chan struct{})
+// notify wakes the subscribers of both roles after a change.
+func (s *Store) notify() {
+	s.controlFeed.notify()
+	s.entryFeed.notify()
 }
 
 // SetCatalog publishes a committed catalog if its number is higher than that of
@@ -112,7 +83,7 @@
 
 func (s *Store) setCatalogLocked(c *catalog.Catalog) {
 	if s.catalog.Add(c) {
-		s.notify(false, 0)
+		s.notify()
 	}
 }
 
@@ -129,7 +100,7 @@
 		return
 	}
 	s.hubs, s.current = hubs, current
-	s.notify(false, 0)
+	s.notify()
 }
 
 // Hubs returns the published list of hubs. Callers must not modify it.
@@ -151,14 +122,11 @@
 func (s *Store) Merge(rec registry.Record, now time.Time) (registry.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.targets.ChangeVersion()
-	changed, err := s.targets.Merge(rec, now)
-	if err != nil {
+	before := s.targets.Version()
+	if _, err := s.targets.Merge(rec, now); err != nil {
 		return 0, err
 	}
-	if changed {
-		s.notify(true, before)
-	}
+	s.notifyTargets(before)
 	return s.targets.Version(), nil
 }
 
@@ -166,13 +134,20 @@
 func (s *Store) Leave(id fleet.Incarnation, now time.Time) registry.Version {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.targets.ChangeVersion()
-	if s.targets.Leave(id, now) {
-		s.notify(true, before)
-	}
+	before := s.targets.Version()
+	s.targets.Leave(id, now)
+	s.notifyTargets(before)
 	return s.targets.Version()
 }
 
+// notifyTargets wakes the subscribers if a target has changed since the version
+// before.
+func (s *Store) notifyTargets(before registry.Version) {
+	if s.targets.Version() > before {
+		s.notify()
+	}
+}
+
 // ApplyUpdate merges an update of another hub. It returns the errors of
 // registry.Registry.Merge and of catalog.Catalog.Apply.
 func (s *Store) ApplyUpdate(from fleet.VMID, u *Update, now time.Time) error {
@@ -192,43 +167,59 @@
 		}
 		s.setCatalogLocked(c)
 	}
-	before := s.targets.ChangeVersion()
-	changed := false
+	before := s.targets.Version()
 	for _, rec := range u.Records {
-		newer, err := s.targets.Merge(rec, now)
-		if err != nil {
+		if _, err := s.targets.MergeFrom(from, rec, now); err != nil {
 			return err
 		}
-		changed = changed || newer
+	}
+	for _, h := range u.Heard {
+		s.targets.Renew(h, from, now)
 	}
 	if u.Full && u.Complete && now.Before(s.completeAt) {
 		s.completeAt = now
 	}
-	if changed {
-		s.notify(true, before)
-	}
+	s.sources[from] = true
+	s.notifyTargets(before)
 	return nil
 }
 
+// Sources returns the hubs whose feeds this hub receives, sorted by ID.
+func (s *Store) Sources() []fleet.VMID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.sources))
+}
+
 // Tick marks silent targets and aggregates the reports of entry VMs.
 func (s *Store) Tick(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.aggregateReports()
-	before := s.targets.ChangeVersion()
+	before := s.targets.Version()
 	s.targets.Tick(now)
 	complete := !now.Before(s.completeAt)
-	if s.targets.ChangeVersion() != before || complete != s.complete {
+	if s.targets.Version() != before || complete != s.complete {
 		s.complete = complete
-		s.notify(false, 0)
+		s.notify()
 	}
 }
 
-// recordAck records the version that a control VM has acknowledged.
-func (s *Store) recordAck(vm fleet.VMID, v registry.Version) {
+// recordAck records the version that a control VM has acknowledged, and the hubs
+// whose feeds it receives.
+func (s *Store) recordAck(vm fleet.VMID, a *Ack) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ackedVersions[vm] = v
+	if len(a.Sources) > 0 {
+		s.followed[vm] = make(map[fleet.VMID]bool, len(a.Sources))
+		for _, id := range a.Sources {
+			s.followed[vm][id] = true
+		}
+	}
+	if s.ackedVersions[vm] == a.Version {
+		return
+	}
+	s.ackedVersions[vm] = a.Version
 	close(s.acked)
 	s.acked = make(chan struct{})
 }
@@ -239,6 +230,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.ackedVersions, vm)
+	delete(s.followed, vm)
 }
 
 // Confirmed waits until a majority of the control VMs has acknowledged version
@@ -277,50 +269,6 @@
 	return &Greeting{Number: s.catalog.Number(), Current: s.current}
 }
 
-// next returns the next update for a subscriber and advances its cursor. It
-// returns nil if the subscriber is up to date.
-func (s *Store) next(c *cursor, now time.Time) *Update {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	u := &Update{Version: s.targets.Version(), Complete: s.complete, Current: s.current}
-	reports := s.reportsFor(c.role)
-	if !c.started || !reports.equal(&c.reports) {
-		u.Reports = &reports
-	}
-	since := c.version
-	if c.role == Control {
-		u.Records = s.targets.Updates(since, now)
-	} else {
-		u.Records = s.targets.Changes(since, now)
-	}
-	// After the first update, hubs get catalogs from the replicated log.
-	if c.role == Entry || !c.started {
-		u.Catalog = s.catalog.Delta(c.number)
-	}
-	if u.Catalog != nil {
-		c.number = u.Catalog.To
-	}
-	u.Full = !c.started
-	if !slices.Equal(s.hubs, c.hubs) {
-		u.Hubs = s.hubs
-	}
-	unchanged := c.started && u.Catalog == nil && len(u.Records) == 0 && u.Hubs == nil &&
-		u.Complete == c.complete && u.Current == c.current && u.Reports == nil
-	c.started, c.version, c.hubs = true, u.Version, s.hubs
-	c.complete, c.current = u.Complete, u.Current
-	c.reports = reports
-	if unchanged {
-		return nil
-	}
-	return u
-}
-
-func (s *Store) heartbeat(c *cursor) *Update {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return &Update{Version: c.version, Complete: s.complete, Current: s.current}
-}
-
 // reportsFor returns the reports that are sent to subscribers of a role.
 func (s *Store) reportsFor(r Role) Reports {
 	p := Reports{EntryVMs: s.subscribers[Entry]}
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -19,6 +20,7 @@
 
 	started bool
 	conn    stallTimeoutConn
+	r       *bufio.Reader
 	stop    func() bool
 	mu      sync.Mutex // guards writes to conn
 }
@@ -32,9 +34,10 @@
 		return nil, err
 	}
 	s := &Subscription{conn: stallTimeoutConn{conn}, stop: context.AfterFunc(ctx, func() { conn.Close() })}
+	s.r = bufio.NewReaderSize(s.conn, readBufferSize)
 	err = s.write(hello)
 	if err == nil {
-		err = read(s.conn, &s.Greeting)
+		err = read(s.r, &s.Greeting)
 	}
 	if err != nil {
 		s.Close()
@@ -53,7 +56,7 @@
 		}
 	}
 	u := new(Update)
-	if err := read(s.conn, u); err != nil {
+	if err := read(s.r, u); err != nil {
 		return nil, err
 	}
 	return u, nil
--- a/internal/hub/peers.go
+++ b/internal/hub/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -85,6 +86,7 @@
 
 // mergeFeed merges the updates from the feed of a hub until that feed fails.
 func (d *Daemon) mergeFeed(from fleet.VMID, sub *feed.Subscription) error {
+	var sentSources []fleet.VMID
 	for {
 		u, err := sub.Next()
 		if err != nil {
@@ -93,7 +95,11 @@
 		if err := d.store.ApplyUpdate(from, u, time.Now()); err != nil {
 			return err
 		}
-		if err := sub.Acknowledge(feed.Ack{Version: u.Version}); err != nil {
+		ack := feed.Ack{Version: u.Version}
+		if sources := d.store.Sources(); !slices.Equal(sources, sentSources) {
+			ack.Sources, sentSources = sources, sources
+		}
+		if err := sub.Acknowledge(ack); err != nil {
 			return err
 		}
 	}
--- a/pkg/registry/record.go
+++ b/pkg/registry/record.go
@@ -11,9 +11,19 @@
 	// Sequence orders the announcements of one process of a target.
 	Sequence uint64
 
-	// Version counts the changes and announcements in one Registry.
+	// Version counts the changes in one Registry. An announcement that only renews
+	// a target is not a change.
 	Version uint64
 
+	// Heard tells another registry that a target has renewed its announcement,
+	// without the record, which the other registry has. Age is the time in
+	// milliseconds since the announcement.
+	Heard struct {
+		_      struct{} `cbor:",toarray"`
+		Target fleet.Incarnation
+		Age    uint32
+	}
+
 	// Record describes one target. Its durations are relative to the time at
 	// which the record was created, so that the clocks of two VMs are never
 	// compared.
@@ -58,8 +68,8 @@
 	return r.Target.State
 }
 
-// newerThan reports whether r is newer than o, a record of the same target.
-func (r *Record) newerThan(o *Record) bool {
+// NewerThan reports whether r is newer than o, a record of the same target.
+func (r *Record) NewerThan(o *Record) bool {
 	if r.Born != o.Born {
 		return r.Born > o.Born
 	}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"container/list"
 	"net/netip"
 	"time"
 
@@ -17,6 +18,11 @@
 	// is assumed to have been suspended. Such a gap does not count as silence of
 	// the targets.
 	maxTickGap = time.Second
+	// minRenewal is the minimum time by which another registry's report moves the
+	// time of a target's last announcement. Smaller differences are delays of the
+	// network: without this limit, a report that is passed on in a circle would
+	// renew the target forever.
+	minRenewal = 100 * time.Millisecond
 )
 
 // Causes of a change.
@@ -37,8 +43,11 @@
 
 	// Registry is one VM's list of targets. It is not safe for concurrent use.
 	//
-	// Invariant: byAddress[a] is the entry with address a whose record is not
-	// Gone; at most one such entry exists per address.
+	// Invariants: byAddress[a] is the entry with address a whose record is not
+	// Gone; at most one such entry exists per address. changes holds all entries in
+	// the order of changeVersion, and heard those that were heard, in the order of
+	// heardVersion, so that the cost of Changes and Heard depends on the number of
+	// returned targets only.
 	Registry struct {
 		// SilenceLimit is the time without an announcement after which a target
 		// is marked as silent.
@@ -49,10 +58,11 @@
 		entries   map[fleet.Incarnation]*entry
 		byAddress map[netip.AddrPort]*entry
 		version   Version
-		// changeVersion is the version of the last change that affects
-		// forwarding.
-		changeVersion Version
-		lastTick      time.Time
+		changes   list.List
+		// heardVersion counts the announcements that only renew a target.
+		heardVersion Version
+		heard        list.List
+		lastTick     time.Time
 	}
 
 	entry struct {
@@ -61,9 +71,16 @@
 		lastHeard time.Time
 		warmAt    time.Time
 		endedAt   time.Time
-		// changeVersion is the version of the last change of record, and
-		// updateVersion the version of the last change or announcement.
-		changeVersion, updateVersion Version
+		// changeVersion is the version of the last change of record, and change the
+		// entry's element of Registry.changes.
+		changeVersion Version
+		change        *list.Element
+		// heardVersion is the heardVersion of the registry at the last renewal,
+		// heardAt the entry's element of Registry.heard, and source the VM that
+		// reported the renewal, or "" if the target announced itself here.
+		heardVersion Version
+		heardAt      *list.Element
+		source       fleet.VMID
 	}
 )
 
@@ -77,11 +94,12 @@
 	}
 }
 
-// Version returns the version of the last change or announcement.
+// Version returns the version of the last change of a target.
 func (r *Registry) Version() Version { return r.version }
 
-// ChangeVersion returns the version of the last change of a target.
-func (r *Registry) ChangeVersion() Version { return r.changeVersion }
+// HeardVersion returns the version of the last announcement that only renewed a
+// target.
+func (r *Registry) HeardVersion() Version { return r.heardVersion }
 
 // Len returns the number of targets that are not gone.
 func (r *Registry) Len() int { return len(r.byAddress) }
@@ -100,18 +118,22 @@
 	return states
 }
 
-// Merge adds a record from an announcement or from another VM, and reports
-// whether the record was added. A record that is not newer than the known
+// Merge adds a record from an announcement to this VM, and reports whether the record was added. A record that is not newer than the known
 // record of the target is not added. Neither is the record of an unknown target
 // that has been gone for longer than GoneRetention. Merge returns a
 // fleet.FieldError for an invalid record.
 func (r *Registry) Merge(rec Record, now time.Time) (bool, error) {
+	return r.MergeFrom("", rec, now)
+}
+
+// MergeFrom is Merge for a record from another VM, source.
+func (r *Registry) MergeFrom(source fleet.VMID, rec Record, now time.Time) (bool, error) {
 	if err := rec.Validate(); err != nil {
 		return false, err
 	}
 	lastHeard := now.Add(-rec.Age)
 	e := r.entries[rec.Target.ID.Incarnation]
-	if e != nil && !rec.newerThan(&e.record) {
+	if e != nil && !rec.NewerThan(&e.record) {
 		return false, nil
 	}
 	cause := CauseNew
@@ -125,19 +147,41 @@
 		cause = e.changeCause(&rec)
 		r.releaseAddress(e)
 	}
-	r.version++
-	e.updateVersion = r.version
 	changed := !e.equivalent(&rec)
+	if e.record.Born == rec.Born && !rec.Gone() && e.lastHeard.After(lastHeard) {
+		lastHeard = e.lastHeard
+	}
 	e.record, e.lastHeard = rec, lastHeard
 	e.warmAt = now.Add(rec.Warmup)
 	e.record.Silent = !rec.Gone() && now.Sub(lastHeard) > r.SilenceLimit
 	if changed {
 		r.recordChange(e, cause)
 	}
+	r.recordHeard(e, source)
 	r.claimAddress(e, now)
 	return true, nil
 }
 
+// Renew records that another VM, source, has heard a target that this registry
+// knows, and reports whether that was news.
+func (r *Registry) Renew(h Heard, source fleet.VMID, now time.Time) bool {
+	e := r.entries[h.Target]
+	if e == nil || e.record.Gone() {
+		return false
+	}
+	lastHeard := now.Add(-time.Duration(h.Age) * time.Millisecond)
+	if lastHeard.Sub(e.lastHeard) < minRenewal {
+		return false
+	}
+	e.lastHeard = lastHeard
+	r.recordHeard(e, source)
+	if e.record.Silent && now.Sub(lastHeard) <= r.SilenceLimit {
+		e.record.Silent = false
+		r.recordChange(e, CauseHeard)
+	}
+	return true
+}
+
 // changeCause returns the cause of the change that rec, a newer record of the
 // same target, makes to the entry.
 func (e *entry) changeCause(rec *Record) Cause {
@@ -189,22 +233,48 @@
 
 func (r *Registry) markGone(e *entry, c Cause, now time.Time) {
 	r.releaseAddress(e)
-	r.version++
 	e.record.Target.State = fleet.TargetGone
 	e.record.Silent = false
 	e.endedAt = now
 	r.recordChange(e, c)
 }
 
-// recordChange marks the entry as changed in the current version and calls
-// OnChange.
+// recordChange marks the entry as changed in a new version and calls OnChange.
 func (r *Registry) recordChange(e *entry, c Cause) {
-	e.changeVersion, e.updateVersion, r.changeVersion = r.version, r.version, r.version
+	r.version++
+	e.changeVersion = r.version
+	if e.change == nil {
+		e.change = r.changes.PushBack(e)
+	} else {
+		r.changes.MoveToBack(e.change)
+	}
 	if r.OnChange != nil {
 		r.OnChange(&e.record, c)
 	}
 }
 
+// recordHeard marks the entry as heard by source in a new heardVersion.
+func (r *Registry) recordHeard(e *entry, source fleet.VMID) {
+	r.heardVersion++
+	e.heardVersion, e.source = r.heardVersion, source
+	if e.heardAt == nil {
+		e.heardAt = r.heard.PushBack(e)
+	} else {
+		r.heard.MoveToBack(e.heardAt)
+	}
+}
+
+// remove removes an entry.
+func (r *Registry) remove(id fleet.Incarnation, e *entry) {
+	delete(r.entries, id)
+	if e.change != nil {
+		r.changes.Remove(e.change)
+	}
+	if e.heardAt != nil {
+		r.heard.Remove(e.heardAt)
+	}
+}
+
 // Leave marks a target that has announced its end as gone, and reports whether
 // the target was known and not yet gone.
 func (r *Registry) Leave(id fleet.Incarnation, now time.Time) bool {
@@ -227,31 +297,22 @@
 		}
 		switch {
 		case e.record.Gone() && now.Sub(e.endedAt) > GoneRetention:
-			delete(r.entries, id)
+			r.remove(id, e)
 		case !e.record.Gone() && !e.record.Silent && now.Sub(e.lastHeard) > r.SilenceLimit:
-			r.version++
 			e.record.Silent = true
 			r.recordChange(e, CauseSilent)
 		}
 	}
 }
 
-// Changes returns the records that have changed since the given version.
+// Changes returns the records that have changed since the given version, and all
+// records if that is 0.
 func (r *Registry) Changes(since Version, now time.Time) []Record {
-	return r.collect(now, func(e *entry) bool { return e.changeVersion > since })
-}
-
-// Updates returns the records that have changed or were announced since the given
-// version.
-func (r *Registry) Updates(since Version, now time.Time) []Record {
-	return r.collect(now, func(e *entry) bool { return e.updateVersion > since })
-}
-
-func (r *Registry) collect(now time.Time, include func(*entry) bool) []Record {
 	var records []Record
-	for _, e := range r.entries {
-		if !include(e) {
-			continue
+	for el := r.changes.Back(); el != nil; el = el.Prev() {
+		e := el.Value.(*entry)
+		if e.changeVersion <= since {
+			break
 		}
 		rec := e.record
 		rec.Warmup = max(e.warmAt.Sub(now), 0)
@@ -263,3 +324,21 @@
 	}
 	return records
 }
+
+// Heard returns the targets that were renewed since the given heardVersion, except
+// those that a VM for which known returns true has reported. known is not called
+// for targets that announced themselves here.
+func (r *Registry) Heard(since Version, known func(source fleet.VMID) bool, now time.Time) []Heard {
+	var heard []Heard
+	for el := r.heard.Back(); el != nil; el = el.Prev() {
+		e := el.Value.(*entry)
+		if e.heardVersion <= since {
+			break
+		}
+		if e.record.Gone() || e.source != "" && known(e.source) {
+			continue
+		}
+		heard = append(heard, Heard{Target: e.record.Target.ID.Incarnation, Age: uint32(max(now.Sub(e.lastHeard), 0).Milliseconds())})
+	}
+	return heard
+}
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -35,7 +35,7 @@
 
 func states(r *Registry, now time.Time) map[fleet.Incarnation]fleet.TargetState {
 	m := make(map[fleet.Incarnation]fleet.TargetState)
-	for _, rec := range r.Updates(0, now) {
+	for _, rec := range r.Changes(0, now) {
 		m[rec.Target.ID.Incarnation] = rec.Target.State
 		if rec.Silent {
 			m[rec.Target.ID.Incarnation] = "Silent"
@@ -145,11 +145,11 @@
 			t.Fatal(err)
 		}
 	}
-	if got := len(r.Updates(0, start)); got != 99 {
+	if got := len(r.Changes(0, start)); got != 99 {
 		t.Errorf("got %d records, want 99", got)
 	}
 	r.Tick(start.Add(GoneRetention + time.Second))
-	if got := len(r.Updates(0, start)); got != 1 {
+	if got := len(r.Changes(0, start)); got != 1 {
 		t.Errorf("after GoneRetention: got %d records, want 1", got)
 	}
 }
@@ -166,13 +166,13 @@
 	}
 	merge(record(1, 1, 1, 1, fleet.TargetReady))
 	merge(record(2, 2, 1, 1, fleet.TargetReady))
-	v := r.Version()
+	v, v2 := r.Version(), r.HeardVersion()
 	merge(record(1, 1, 1, 2, fleet.TargetReady))
 	if got := len(r.Changes(v, start)); got != 0 {
 		t.Errorf("Changes after an announcement without a change: got %d records, want 0", got)
 	}
-	if got := len(r.Updates(v, start)); got != 1 {
-		t.Errorf("Updates after an announcement without a change: got %d records, want 1", got)
+	if got := r.Heard(v2, nil, start); len(got) != 1 || got[0].Target != 1 {
+		t.Errorf("Heard after an announcement without a change: got %+v, want target 1", got)
 	}
 	merge(record(2, 2, 1, 2, fleet.TargetDraining))
 	if got := r.Changes(v, start); len(got) != 1 || got[0].Target.State != fleet.TargetDraining {
@@ -180,6 +180,66 @@
 	}
 }
 
+// Guards against live targets that are marked as silent because they announce
+// themselves to another control VM, and against dead targets that control VMs keep
+// alive by passing their last announcement on in a circle.
+func TestRenew(t *testing.T) {
+	a, b := New(silenceLimit, start), New(silenceLimit, start)
+	for _, r := range []*Registry{a, b} {
+		if _, err := r.Merge(record(1, 1, 1, 1, fleet.TargetReady), start); err != nil {
+			t.Fatal(err)
+		}
+	}
+	now := start
+	var seq Sequence = 1
+	tick := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(100 * time.Millisecond)
+			a.Tick(now)
+			b.Tick(now)
+		}
+	}
+	for range 10 {
+		tick(time.Second)
+		seq++
+		if _, err := a.Merge(record(1, 1, 1, seq, fleet.TargetReady), now); err != nil {
+			t.Fatal(err)
+		}
+		for _, h := range a.Heard(0, nil, now) {
+			if !b.Renew(h, "a", now) {
+				t.Fatalf("announcement %d: not renewed at the other VM", seq)
+			}
+		}
+	}
+	if got := states(b, now)[1]; got != fleet.TargetReady {
+		t.Errorf("target that announces itself to the other VM: got %s, want Ready", got)
+	}
+	const delay = time.Millisecond
+	unknown := func(fleet.VMID) bool { return false }
+	for range int(silenceLimit / (100 * time.Millisecond)) {
+		for _, pair := range [][2]*Registry{{a, b}, {b, a}} {
+			heard := pair[0].Heard(0, unknown, now)
+			now = now.Add(delay)
+			for _, h := range heard {
+				pair[1].Renew(h, "other", now)
+			}
+		}
+		tick(100 * time.Millisecond)
+	}
+	for name, r := range map[string]*Registry{"a": a, "b": b} {
+		if got := states(r, now)[1]; got != "Silent" {
+			t.Errorf("dead target at %s: got %s, want Silent", name, got)
+		}
+	}
+	if b.Renew(Heard{Target: 1}, "a", now); states(b, now)[1] != fleet.TargetReady {
+		t.Errorf("silent target after a renewal: got %s, want Ready", states(b, now)[1])
+	}
+	b.Leave(1, now)
+	if b.Renew(Heard{Target: 1}, "a", now.Add(time.Second)) || b.Renew(Heard{Target: 2}, "a", now) {
+		t.Error("renewal of a gone or unknown target: got true, want false")
+	}
+}
+
 // Guards against control VMs whose registries disagree permanently. Registries
 // that have exchanged all records must have the same states, regardless of the
 // order in which the records arrived.
@@ -207,10 +267,10 @@
 			mustMerge(t, b, records[i])
 		}
 		for range 3 {
-			for _, rec := range a.Updates(0, start) {
+			for _, rec := range a.Changes(0, start) {
 				mustMerge(t, b, rec)
 			}
-			for _, rec := range b.Updates(0, start) {
+			for _, rec := range b.Changes(0, start) {
 				mustMerge(t, a, rec)
 			}
 		}
@@ -218,7 +278,7 @@
 			t.Fatalf("after %+v: got %v and %v, want the same", records, got, want)
 		}
 		owners := make(map[netip.AddrPort]bool)
-		for _, rec := range a.Updates(0, start) {
+		for _, rec := range a.Changes(0, start) {
 			if address := rec.Target.ID.Address; !rec.Gone() {
 				if owners[address] {
 					t.Fatalf("two live targets at %s", address)
@@ -234,7 +294,7 @@
 		t.Fatal(err)
 	}
 	live := 0
-	for _, rec := range r.Updates(0, start) {
+	for _, rec := range r.Changes(0, start) {
 		if !rec.Gone() {
 			live++
 		}
