A restarted hub restores no target that has left

Cause (reported by operators of similar systems): after a restart a server that had left was in use again. It could happen here: a hub restores the targets from a file that is up to half a second old and as much older as the hub was down, and counted as current as soon as it knew a leader; an entry VM took each record that its hub sent, so that a drain or an end it knew already was undone.

Change: an entry VM keeps its record if the hub's is older and would undo a restart, a drain or an end. A hub is current after a start only once it has the full state of a majority with itself, or one silence limit has passed.

Tests failed before: TestMirrorKeepsNewerRecords (9 of 24 cases), TestRestartedHubIsNotCurrent.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -236,6 +236,36 @@
 	}
 }
 
+// Guards against entry VMs that follow a hub which has restarted with a saved state
+// and does not know yet which targets have left meanwhile.
+func TestRestartedHubIsNotCurrent(t *testing.T) {
+	now := time.Now()
+	s := NewStore(Hub{VM: "a"}, registry.New(3*time.Second, now), now)
+	current := func(want bool, when string) {
+		t.Helper()
+		if got := s.greeting().Current; got != want {
+			t.Errorf("%s: got current %v, want %v", when, got, want)
+		}
+	}
+	s.SetHubs([]fleet.VMID{"a", "b", "c", "d", "e"}, true)
+	current(false, "after the start")
+	for i, from := range []fleet.VMID{"b", "b", "c"} {
+		if err := s.ApplyUpdate(from, &Update{Full: true}, now); err != nil {
+			t.Fatal(err)
+		}
+		current(i == 2, fmt.Sprintf("with %d full states", i+1))
+	}
+	s.SetHubs([]fleet.VMID{"a", "b", "c", "d", "e"}, false)
+	current(false, "without a leader")
+	// A hub whose peers are down serves again once targets have announced themselves.
+	s = NewStore(Hub{VM: "a"}, registry.New(3*time.Second, now), now)
+	s.SetHubs([]fleet.VMID{"a", "b", "c"}, true)
+	s.Tick(now.Add(2900 * time.Millisecond))
+	current(false, "before the silence limit")
+	s.Tick(now.Add(3 * time.Second))
+	current(true, "after the silence limit")
+}
+
 // Guards against a target that all VMs avoid because a single VM has lost its
 // links, and against a dead target that each VM has to detect by itself.
 func TestSharedDoubts(t *testing.T) {
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -19,9 +19,15 @@
 	targets *registry.Registry
 	catalog catalog.History
 	// current and complete are the values of Update.Current and Update.Complete.
-	current  bool
-	complete bool
-	hubs     []Hub
+	// leaderKnown is set while this hub knows the leader of a majority of the hubs.
+	current, leaderKnown bool
+	complete             bool
+	// fullFrom holds the hubs that have sent their full state since the start, and
+	// settled is set one silence limit after the start, at settledAt.
+	fullFrom  map[fleet.VMID]bool
+	settled   bool
+	settledAt time.Time
+	hubs      []Hub
 	// zones holds the zone of this hub and of each hub that has sent a Hello.
 	zones map[fleet.VMID]fleet.ZoneID
 	// completeAt is the time from which complete is set. It is one silence limit
@@ -53,7 +59,9 @@
 	return &Store{
 		zones:         map[fleet.VMID]fleet.ZoneID{self.VM: self.Zone},
 		targets:       targets,
+		fullFrom:      make(map[fleet.VMID]bool),
 		completeAt:    now.Add(targets.SilenceLimit),
+		settledAt:     now.Add(targets.SilenceLimit),
 		entryFeed:     newFeedState(Entry),
 		controlFeed:   newFeedState(Control),
 		ackedVersions: make(map[fleet.VMID]registry.Version),
@@ -87,20 +95,40 @@
 	}
 }
 
-// SetHubs publishes the list of hubs, and whether this hub is in contact with a
-// majority of them.
-func (s *Store) SetHubs(ids []fleet.VMID, current bool) {
+// SetHubs publishes the list of hubs. leaderKnown is set while this hub knows the
+// leader, which is in contact with a majority of the hubs.
+func (s *Store) SetHubs(ids []fleet.VMID, leaderKnown bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.leaderKnown = leaderKnown
 	hubs := make([]Hub, 0, len(ids))
 	for _, id := range ids {
 		hubs = append(hubs, Hub{VM: id, Zone: s.zones[id]})
 	}
-	if current == s.current && slices.Equal(hubs, s.hubs) {
-		return
+	if !slices.Equal(hubs, s.hubs) {
+		s.hubs = hubs
+		s.notify()
+	}
+	s.updateCurrent()
+}
+
+// updateCurrent updates current. After a restart, the targets are those of the
+// cache file, which may be older than the end of a target that a majority has
+// acknowledged. The hub is therefore not current until it has received the full
+// state of so many hubs that they form a majority with itself, or until each
+// target has had time to announce itself again.
+func (s *Store) updateCurrent() {
+	n := 1
+	for _, h := range s.hubs {
+		if s.fullFrom[h.VM] {
+			n++
+		}
+	}
+	current := s.leaderKnown && (s.settled || n > len(s.hubs)/2)
+	if current != s.current {
+		s.current = current
+		s.notify()
 	}
-	s.hubs, s.current = hubs, current
-	s.notify()
 }
 
 // Hubs returns the published list of hubs. Callers must not modify it.
@@ -180,6 +208,10 @@
 		s.completeAt = now
 	}
 	s.sources[from] = true
+	if u.Full {
+		s.fullFrom[from] = true
+		s.updateCurrent()
+	}
 	s.notifyTargets(before)
 	return nil
 }
@@ -198,6 +230,10 @@
 	s.aggregateReports()
 	before := s.targets.Version()
 	s.targets.Tick(now)
+	if !s.settled && !now.Before(s.settledAt) {
+		s.settled = true
+		s.updateCurrent()
+	}
 	complete := !now.Before(s.completeAt)
 	if s.targets.Version() != before || complete != s.complete {
 		s.complete = complete
--- a/internal/gateway/mirror.go
+++ b/internal/gateway/mirror.go
@@ -36,15 +36,21 @@
 // returns the errors of catalog.Catalog.Apply.
 func (m *mirror) apply(u *feed.Update, now time.Time) (bool, error) {
 	changed := len(u.Records) > 0
-	if u.Full && u.Complete && len(m.records) > 0 {
-		clear(m.records)
+	known := m.records
+	if u.Full && u.Complete && len(known) > 0 {
+		m.records = nil
 		changed = true
 	}
 	if m.records == nil {
-		m.records = make(map[fleet.Incarnation]mirroredRecord)
+		m.records = make(map[fleet.Incarnation]mirroredRecord, len(u.Records))
 	}
 	for _, rec := range u.Records {
-		m.records[rec.Target.ID.Incarnation] = mirroredRecord{rec, now}
+		id := rec.Target.ID.Incarnation
+		if old, ok := known[id]; ok && supersedes(&old.Record, &rec) {
+			m.records[id] = old
+			continue
+		}
+		m.records[id] = mirroredRecord{rec, now}
 	}
 	m.removeExpired(now)
 	if u.Catalog == nil || u.Catalog.To <= m.number() {
@@ -58,6 +64,19 @@
 	return true, nil
 }
 
+// supersedes reports whether a known record of a target is kept although a hub
+// sends another one: the other one is older and would undo a restart, a drain or
+// the end of the target. A hub that has restarted sends such records until it has
+// received the state of other hubs. Otherwise the record of the current hub
+// counts, because hubs don't tell each other the sequence numbers of
+// announcements that only renew a target.
+func supersedes(known, received *registry.Record) bool {
+	if !known.NewerThan(received) {
+		return false
+	}
+	return known.Born != received.Born || known.Target.State != received.Target.State
+}
+
 // removeExpired removes targets that have been gone for more than
 // registry.GoneRetention.
 func (m *mirror) removeExpired(now time.Time) {
--- /dev/null
+++ b/internal/gateway/mirror_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"bamboowalk.org/bamboowalk/internal/feed"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/registry"
+)
+
+func mirrorRecord(born int64, seq registry.Sequence, state fleet.TargetState, silent bool) registry.Record {
+	return registry.Record{
+		Target: fleet.Target{
+			ID:   fleet.TargetID{Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Incarnation: 1},
+			Zone: "z0", Slots: 1, ConnectionLimit: 1, State: state,
+		},
+		Born: born, Sequence: seq, Silent: silent,
+	}
+}
+
+// Guards against a target that is used again after it has begun to drain or has
+// left, because a hub that has restarted with an older saved state sends an older
+// record of the target.
+func TestMirrorKeepsNewerRecords(t *testing.T) {
+	const ready, draining, gone = fleet.TargetReady, fleet.TargetDraining, fleet.TargetGone
+	for _, test := range []struct {
+		name     string
+		known    registry.Record
+		received registry.Record
+		want     fleet.TargetState
+	}{
+		{"older record of a draining target", mirrorRecord(5, 10, draining, false), mirrorRecord(5, 4, ready, false), draining},
+		{"older record of a gone target", mirrorRecord(5, 10, gone, false), mirrorRecord(5, 4, ready, false), gone},
+		{"record of the process before a restart", mirrorRecord(5, 1, ready, false), mirrorRecord(4, 90, draining, false), ready},
+		{"newer record of a gone target's id", mirrorRecord(5, 10, gone, false), mirrorRecord(6, 1, ready, false), ready},
+		{"newer record of a draining target", mirrorRecord(5, 10, ready, false), mirrorRecord(5, 11, draining, false), draining},
+		{"draining target has left", mirrorRecord(5, 10, draining, false), mirrorRecord(5, 10, gone, false), gone},
+		// Hubs know different sequence numbers of a target that only renews its
+		// announcements.
+		{"target is silent at another hub", mirrorRecord(5, 10, ready, false), mirrorRecord(5, 4, ready, true), registry.StateSilent},
+		{"target is not silent at another hub", mirrorRecord(5, 10, ready, true), mirrorRecord(5, 4, ready, false), ready},
+	} {
+		for _, u := range []feed.Update{{Full: true}, {Full: true, Complete: true}, {}} {
+			now := time.Now()
+			var m mirror
+			if _, err := m.apply(&feed.Update{Full: true, Complete: true, Records: []registry.Record{test.known}}, now); err != nil {
+				t.Fatal(err)
+			}
+			u.Records = []registry.Record{test.received}
+			if _, err := m.apply(&u, now); err != nil {
+				t.Fatal(err)
+			}
+			rec := m.records[1]
+			if got := rec.State(); got != test.want {
+				t.Errorf("%s (full %v, complete %v): got %s, want %s", test.name, u.Full, u.Complete, got, test.want)
+			}
+		}
+	}
+}
