gateway: acknowledge updates without changes twice a second

Cause: each entry VM answered each of five heartbeats a second with the same acknowledgement, which its hub read and compared, in two reads each.

Change: an acknowledgement that says nothing new is sent after 500 ms, well within the 1.2 s after which a hub gives up a silent VM. The reported targets are sorted, so that the same list in another order is no change.

--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"bamboowalk.org/bamboowalk/pkg/catalog"
@@ -131,6 +132,12 @@
 	}
 )
 
+// Equal reports whether two acknowledgements are the same.
+func (a *Ack) Equal(o *Ack) bool {
+	return a.Version == o.Version && a.Number == o.Number && slices.Equal(a.Suspects, o.Suspects) &&
+		slices.Equal(a.Overdue, o.Overdue) && slices.Equal(a.Sources, o.Sources)
+}
+
 // Error returns the type of the message, the reason and the cause.
 func (e *MessageError) Error() string {
 	if e.Err != nil {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -44,6 +44,10 @@
 	// because no hub has a catalog before the first configuration.
 	searchInterval    = 2 * time.Second
 	minSearchInterval = 200 * time.Millisecond
+	// ackInterval is the time after which an update without changes is
+	// acknowledged. It is less than half of feed.IdleTimeout, after which a hub
+	// considers this VM unreachable.
+	ackInterval = 500 * time.Millisecond
 )
 
 type (
@@ -66,10 +70,11 @@
 		seeds  []fleet.VMID
 		hubs   []feed.Hub
 		mirror mirror
-		// source is the current hubFeed, and version the last version of the
-		// targets that was acknowledged to its hub.
+		// source is the current hubFeed, lastAck the last Ack to its hub, and ackedAt
+		// the time of that Ack.
 		source  *hubFeed
-		version registry.Version
+		lastAck feed.Ack
+		ackedAt time.Time
 		// updatedAt and catalogAt are the times of the last update and of the last
 		// catalog, in Unix nanoseconds, and 0 before the first.
 		updatedAt, catalogAt atomic.Int64
@@ -319,11 +324,19 @@
 
 // acknowledge sends the hub the versions of the targets and of the catalog that
 // this VM has applied, the targets that this VM suspects, and the targets at
-// which requests that this VM forwarded were recently overdue.
+// which requests that this VM forwarded were recently overdue. It sends nothing if
+// the hub has been sent the same less than ackInterval ago.
 func (f *follower) acknowledge(s *hubFeed, v registry.Version) error {
+	now := time.Now()
 	f.mu.Lock()
-	ack := feed.Ack{Version: v, Number: f.mirror.number(), Suspects: f.Core.Suspects(), Overdue: f.Core.Overdue(time.Now())}
-	f.source, f.version = s, v
+	ack := feed.Ack{Version: v, Number: f.mirror.number(), Suspects: f.Core.Suspects(), Overdue: f.Core.Overdue(now)}
+	slices.Sort(ack.Suspects)
+	slices.Sort(ack.Overdue)
+	if f.source == s && now.Sub(f.ackedAt) < ackInterval && ack.Equal(&f.lastAck) {
+		f.mu.Unlock()
+		return nil
+	}
+	f.source, f.lastAck, f.ackedAt = s, ack, now
 	f.mu.Unlock()
 	return s.feed.Acknowledge(ack)
 }
@@ -331,7 +344,7 @@
 // suspectsChanged sends the hub the changed list of suspected targets at once.
 func (f *follower) suspectsChanged() {
 	f.mu.Lock()
-	s, v := f.source, f.version
+	s, v := f.source, f.lastAck.Version
 	f.mu.Unlock()
 	if s != nil {
 		// If the connection has failed, the next hub receives the list when this VM
