Targets announce themselves to the hub of their own zone

Cause: a target chooses any hub. When zones are cut off from each other, the hub that its zone's entry VMs follow may not hear it, and all such targets have to find another hub first.

Change: the answer to an announcement names a hub of the target's zone whose feed this hub receives, distributed over the hubs of that zone, if it is another one.

--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -15,6 +15,7 @@
 // Store holds the state that a control VM publishes: the catalog, the targets, the
 // list of hubs and the reports of entry VMs. It is safe for concurrent use.
 type Store struct {
+	self    fleet.VMID
 	mu      sync.Mutex
 	targets *registry.Registry
 	catalog catalog.History
@@ -57,6 +58,7 @@
 // NewStore returns a store of the hub self, without a catalog.
 func NewStore(self Hub, targets *registry.Registry, now time.Time) *Store {
 	return &Store{
+		self:          self.VM,
 		zones:         map[fleet.VMID]fleet.ZoneID{self.VM: self.Zone},
 		targets:       targets,
 		fullFrom:      make(map[fleet.VMID]bool),
@@ -131,6 +133,26 @@
 	}
 }
 
+// HubOf returns a hub in a zone to which the target id should announce itself: this
+// hub or one whose feed this hub receives. The targets of a zone are distributed
+// over the hubs of the zone. HubOf returns "" if the zone has no such hub.
+func (s *Store) HubOf(zone fleet.ZoneID, id fleet.Incarnation) fleet.VMID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var chosen fleet.VMID
+	n := uint64(0)
+	for _, h := range s.hubs {
+		if h.Zone != zone || h.VM != s.self && !s.sources[h.VM] {
+			continue
+		}
+		n++
+		if uint64(id)%n == 0 {
+			chosen = h.VM
+		}
+	}
+	return chosen
+}
+
 // Hubs returns the published list of hubs. Callers must not modify it.
 func (s *Store) Hubs() []Hub {
 	s.mu.Lock()
--- a/internal/hub/calls.go
+++ b/internal/hub/calls.go
@@ -14,19 +14,26 @@
 	"bamboowalk.org/bamboowalk/pkg/replica"
 )
 
-// Announce records an announcement of a target. If the target is draining, Announce
+// Announce records an announcement of a target. It returns the hub to which the
+// target should send the next one, or "" for this hub: targets announce themselves
+// to hubs of their own zone, so that a partition between zones separates them from
+// no hub that their zone's entry VMs follow. If the target is draining, Announce
 // waits until a majority of the hubs has acknowledged the record, and returns an
 // UnavailableError if that takes more than confirmTimeout. It returns a
 // fleet.FieldError for an invalid record.
-func (d *Daemon) Announce(ctx context.Context, rec registry.Record) error {
+func (d *Daemon) Announce(ctx context.Context, rec registry.Record) (fleet.VMID, error) {
 	v, err := d.store.Merge(rec, time.Now())
 	if err != nil {
-		return err
+		return "", err
 	}
-	if rec.Target.State != fleet.TargetDraining {
-		return nil
+	if rec.Target.State == fleet.TargetDraining {
+		return "", d.confirm(ctx, rec.Target.ID.Incarnation, v)
+	}
+	next := d.store.HubOf(rec.Target.Zone, rec.Target.ID.Incarnation)
+	if next == d.Settings.ID() {
+		return "", nil
 	}
-	return d.confirm(ctx, rec.Target.ID.Incarnation, v)
+	return next, nil
 }
 
 // Leave marks a target as gone. It waits for a majority of the hubs as Announce
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -184,6 +184,11 @@
 	}
 }
 
+func announce(r *runningHub, rec registry.Record) error {
+	_, err := r.Announce(context.Background(), rec)
+	return err
+}
+
 // waitUpdate opens the feed of hub i as an entry VM and returns the first update
 // that ok accepts.
 func (c *cluster) waitUpdate(i int, ok func(u *feed.Update) bool) *feed.Update {
@@ -257,18 +262,18 @@
 	c.startAll(true)
 	c.put(1, 0, 1, 2)
 	ctx := context.Background()
-	c.eventually("drain with all hubs", func() error { return c.hubs[0].Announce(ctx, record(1, 1, fleet.TargetDraining)) })
+	c.eventually("drain with all hubs", func() error { return announce(c.hubs[0], record(1, 1, fleet.TargetDraining)) })
 	u := c.waitUpdate(2, func(u *feed.Update) bool { return len(u.Records) > 0 })
 	if got := u.Records[0].Target.State; got != fleet.TargetDraining {
 		t.Errorf("state at another hub: got %s, want Draining", got)
 	}
 	c.hubs[1].stop()
 	c.hubs[2].stop()
-	if err := c.hubs[0].Announce(ctx, record(2, 1, fleet.TargetReady)); err != nil {
+	if err := announce(c.hubs[0], record(2, 1, fleet.TargetReady)); err != nil {
 		t.Errorf("announcement at a hub without a majority: got %v, want no error", err)
 	}
 	var unavailable *UnavailableError
-	if err := c.hubs[0].Announce(ctx, record(2, 2, fleet.TargetDraining)); !errors.As(err, &unavailable) {
+	if err := announce(c.hubs[0], record(2, 2, fleet.TargetDraining)); !errors.As(err, &unavailable) {
 		t.Errorf("drain at a hub without a majority: got %v, want an UnavailableError", err)
 	}
 	if err := c.hubs[0].Leave(ctx, 2); !errors.As(err, &unavailable) {
@@ -279,6 +284,34 @@
 	}
 }
 
+// Guards against targets that announce themselves to hubs of other zones, and
+// against targets that are sent to a hub which is down.
+func TestTargetsAnnounceToTheirZone(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startAll(true)
+	c.put(1, 0, 1, 2)
+	next := func(zone fleet.ZoneID) (fleet.VMID, error) {
+		rec := record(1, 1, fleet.TargetReady)
+		rec.Target.Zone = zone
+		return c.hubs[0].Announce(context.Background(), rec)
+	}
+	want := func(zone fleet.ZoneID, id fleet.VMID) {
+		t.Helper()
+		c.eventually(fmt.Sprintf("hub for zone %s", zone), func() error {
+			if got, err := next(zone); err != nil || got != id {
+				return fmt.Errorf("got %q and error %v, want %q", got, err, id)
+			}
+			return nil
+		})
+	}
+	want("z0", "")
+	want("z1", IDOf(c.address(1)))
+	want("z2", IDOf(c.address(2)))
+	want("z9", "")
+	c.hubs[1].stop()
+	want("z1", "")
+}
+
 // Guards against a cluster that tolerates no further fault after a hub has been
 // replaced by an empty one at another address.
 func TestReplacedHub(t *testing.T) {
@@ -358,7 +391,7 @@
 	c := newCluster(t, 3)
 	c.startAll(true)
 	c.put(7, 0, 1, 2)
-	if err := c.hubs[0].Announce(context.Background(), record(1, 1, fleet.TargetReady)); err != nil {
+	if err := announce(c.hubs[0], record(1, 1, fleet.TargetReady)); err != nil {
 		t.Fatal(err)
 	}
 	c.waitUpdate(0, func(u *feed.Update) bool { return u.Catalog != nil })
