gateway: a slow hub is waited for, not called again and again

Change: a hub that has accepted a connection and sent no greeting is called again after 0.3 s, 0.6 s and so on, and each time it was too late it is given twice the time, up to 9.6 s. Searches without any answer are repeated after 50 ms to 1 s, with jitter.

Test failed before: TestSlowHubIsWaitedFor (a hub that answers after 1.8 s: no catalog). TestHubStartsLater, a connection that is silent for good, holds.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -77,7 +77,7 @@
 
 func open(t *testing.T, address string, hello *Hello) *subscriber {
 	t.Helper()
-	s, err := Open(context.Background(), address, hello)
+	s, err := Open(context.Background(), address, hello, IdleTimeout)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -32,9 +32,12 @@
 	// message is a type that is sent over a feed.
 	message interface{ Validate() error }
 
-	// stallTimeoutConn applies IdleTimeout to each read and to each written chunk
-	// instead of the whole frame, so that a large frame can pass a slow link.
-	stallTimeoutConn struct{ net.Conn }
+	// stallTimeoutConn applies a timeout to each read, and IdleTimeout to each written
+	// chunk, instead of the whole frame, so that a large frame can pass a slow link.
+	stallTimeoutConn struct {
+		net.Conn
+		readTimeout time.Duration
+	}
 )
 
 // flateWriters is a pool, because each writer allocates more than 100 KB.
@@ -44,9 +47,9 @@
 	return w
 }}
 
-// Read fails with a timeout if no data arrive for IdleTimeout.
-func (c stallTimeoutConn) Read(b []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(IdleTimeout)); err != nil {
+// Read fails with a timeout if no data arrive for readTimeout.
+func (c *stallTimeoutConn) Read(b []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.readTimeout)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Read(b)
@@ -54,7 +57,7 @@
 
 // Write writes b in chunks. It fails with a timeout if a chunk can't be written
 // within IdleTimeout.
-func (c stallTimeoutConn) Write(b []byte) (int, error) {
+func (c *stallTimeoutConn) Write(b []byte) (int, error) {
 	written := 0
 	for written < len(b) {
 		if err := c.SetWriteDeadline(time.Now().Add(IdleTimeout)); err != nil {
--- a/internal/feed/publisher.go
+++ b/internal/feed/publisher.go
@@ -74,7 +74,7 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	timedConn := stallTimeoutConn{conn}
+	timedConn := &stallTimeoutConn{conn, IdleTimeout}
 	r := bufio.NewReaderSize(timedConn, readBufferSize)
 	var hello Hello
 	if read(r, &hello) != nil {
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -12,6 +15,18 @@
 // connections but leaves them unanswered.
 const dialTimeout = 400 * time.Millisecond
 
+// GreetingTimeoutError reports a publisher that has accepted a connection but has
+// sent no greeting in time. Unlike a publisher without power, it may only be slow.
+type GreetingTimeoutError struct {
+	Address string
+	After   time.Duration
+}
+
+// Error returns the address of the publisher and the time.
+func (e *GreetingTimeoutError) Error() string {
+	return fmt.Sprintf("publisher %s: no greeting within %v", e.Address, e.After)
+}
+
 // Subscription is a connection to one publisher. Next must not be called
 // concurrently.
 type Subscription struct {
@@ -19,30 +34,47 @@
 	Greeting Greeting
 
 	started bool
-	conn    stallTimeoutConn
+	conn    *stallTimeoutConn
 	r       *bufio.Reader
 	stop    func() bool
 	mu      sync.Mutex // guards writes to conn
 }
 
-// Open connects to a publisher, sends hello and waits for the greeting. The
-// connection is closed when ctx ends.
-func Open(ctx context.Context, address string, hello *Hello) (*Subscription, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+// Open connects to a publisher, sends hello and waits for the greeting, at most for
+// patience. The connection is closed when ctx ends. Open returns a
+// GreetingTimeoutError if the publisher has accepted the connection but has sent no
+// greeting in time.
+func Open(ctx context.Context, address string, hello *Hello, patience time.Duration) (*Subscription, error) {
+	conn, err := Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Subscription{conn: stallTimeoutConn{conn}, stop: context.AfterFunc(ctx, func() { conn.Close() })}
+	return Greet(ctx, conn, hello, patience)
+}
+
+// Dial connects to a publisher.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// Greet sends hello over a connection from Dial and waits for the greeting, as Open
+// does. It closes conn if it fails.
+func Greet(ctx context.Context, conn net.Conn, hello *Hello, patience time.Duration) (*Subscription, error) {
+	s := &Subscription{conn: &stallTimeoutConn{conn, patience}, stop: context.AfterFunc(ctx, func() { conn.Close() })}
 	s.r = bufio.NewReaderSize(s.conn, readBufferSize)
-	err = s.write(hello)
+	err := s.write(hello)
 	if err == nil {
 		err = read(s.r, &s.Greeting)
 	}
 	if err != nil {
 		s.Close()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = &GreetingTimeoutError{Address: conn.RemoteAddr().String(), After: patience}
+		}
 		return nil, err
 	}
+	s.conn.readTimeout = IdleTimeout
 	return s, nil
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -35,6 +36,18 @@
 	// maxAttempts bounds the number of concurrent attempts: more attempts would
 	// further slow down hubs that are overloaded by many VMs.
 	maxAttempts = 4
+	// repeatDelay is the time after which another connection to a hub is opened if the
+	// greeting has not arrived, because a connection may go silent without an error.
+	// The delay doubles with each such connection, up to maxPatience.
+	repeatDelay = feed.IdleTimeout / 4
+	// maxPatience is the maximum time for which a hub that has accepted a connection
+	// may take to send its greeting. The time begins at feed.IdleTimeout and doubles
+	// each time the hub has taken longer: a hub that is overloaded by returning VMs
+	// would never serve VMs that give up before their turn.
+	maxPatience = 8 * feed.IdleTimeout
+	// maxRetryDelay is the maximum delay between two searches. The delay begins at
+	// retryDelay and doubles with each search in which no hub has responded.
+	maxRetryDelay = time.Second
 	// staleLimit is the maximum time for which a feed is used although its hub has no
 	// contact with a majority: an election may be in progress.
 	staleLimit = time.Second
@@ -70,6 +83,9 @@
 		seeds  []fleet.VMID
 		hubs   []feed.Hub
 		mirror mirror
+		// unanswered holds the hubs that have accepted a connection and have not sent a
+		// greeting since.
+		unanswered map[fleet.VMID]*unansweredHub
 		// source is the current hubFeed, lastAck the last Ack to its hub, and ackedAt
 		// the time of that Ack.
 		source  *hubFeed
@@ -81,6 +97,14 @@
 		feedsStarted         atomic.Uint64
 	}
 
+	// unansweredHub describes a hub whose greeting has not arrived: next is the earliest
+	// time of the next connection, repeat the time from that one to the one after it,
+	// and patience the time for which the greeting of a connection may take.
+	unansweredHub struct {
+		next             time.Time
+		repeat, patience time.Duration
+	}
+
 	// hubFeed is a hub that has sent a greeting, and the subscription to its feed.
 	hubFeed struct {
 		hub  fleet.VMID
@@ -128,19 +152,21 @@
 // run searches for hubs and follows their feeds until ctx ends.
 func (f *follower) run(ctx context.Context) error {
 	var s *hubFeed
+	delay := retryDelay
 	for ctx.Err() == nil {
 		if s == nil {
 			s = f.search(ctx, f.candidates(false), searchRounds)
 		}
 		if s != nil {
-			s = f.follow(ctx, s)
+			s, delay = f.follow(ctx, s), retryDelay
 			continue
 		}
-		f.Log.Warn("no hub answers")
+		f.Log.Warn("no hub answers", zap.Duration("Retry", delay))
 		select {
 		case <-ctx.Done():
-		case <-time.After(retryDelay):
+		case <-time.After(delay/2 + rand.N(delay)):
 		}
+		delay = min(2*delay, maxRetryDelay)
 	}
 	return nil
 }
@@ -177,7 +203,12 @@
 			if pending == maxAttempts {
 				continue
 			}
-			id := candidates[attempts%len(candidates)]
+			i := f.nextCandidate(candidates, attempts, time.Now())
+			if i < 0 {
+				nextAttempt.Reset(attemptDelay)
+				continue
+			}
+			id := candidates[i]
 			attempts++
 			pending++
 			go func() { results <- f.open(ctx, id, number) }()
@@ -250,13 +281,65 @@
 func (f *follower) open(ctx context.Context, id fleet.VMID, number catalog.Number) *hubFeed {
 	hello := f.Hello
 	hello.Number = number
-	sub, err := feed.Open(ctx, hub.AddressOf(id, f.Port), &hello)
+	conn, err := feed.Dial(ctx, hub.AddressOf(id, f.Port))
+	if err != nil {
+		return nil
+	}
+	sub, err := feed.Greet(ctx, conn, &hello, f.beginGreeting(id, time.Now()))
+	f.endGreeting(id, err)
 	if err != nil {
 		return nil
 	}
 	return &hubFeed{hub: id, feed: sub}
 }
 
+// nextCandidate returns the index of the candidate for the given attempt: the next
+// one to which no connection was opened too recently, or -1 if there is none.
+func (f *follower) nextCandidate(candidates []fleet.VMID, attempt int, now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range candidates {
+		n := (attempt + i) % len(candidates)
+		if r := f.unanswered[candidates[n]]; r == nil || !now.Before(r.next) {
+			return n
+		}
+	}
+	return -1
+}
+
+// beginGreeting records that a hub has accepted a connection, and returns the time
+// for which the hub may take to send its greeting.
+func (f *follower) beginGreeting(id fleet.VMID, now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.unanswered[id]
+	if r == nil {
+		if f.unanswered == nil {
+			f.unanswered = make(map[fleet.VMID]*unansweredHub)
+		}
+		r = &unansweredHub{repeat: repeatDelay, patience: feed.IdleTimeout}
+		f.unanswered[id] = r
+	}
+	r.next = now.Add(r.repeat)
+	r.repeat = min(2*r.repeat, maxPatience)
+	return r.patience
+}
+
+// endGreeting records the result of a greeting.
+func (f *follower) endGreeting(id fleet.VMID, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.unanswered[id]
+	var slow *feed.GreetingTimeoutError
+	switch {
+	case r == nil:
+	case errors.As(err, &slow):
+		r.patience = min(max(r.patience, 2*slow.After), maxPatience)
+	default:
+		delete(f.unanswered, id)
+	}
+}
+
 // follow applies the updates of a hubFeed. It returns a better hubFeed when it
 // finds one. If the feed of the hubFeed fails, follow returns the result of the
 // search in progress, or nil if there is none.
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -104,6 +105,75 @@
 	<-done
 }
 
+// Guards against entry VMs that never get a feed from an overloaded hub: each would
+// give up before its turn and connect again, which adds to the load.
+func TestSlowHubIsWaitedFor(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	const greetingDelay = 3 * feed.IdleTimeout / 2
+	now := time.Now()
+	address := l.Addr().(*net.TCPAddr).AddrPort()
+	store := feed.NewStore(feed.Hub{VM: hub.IDOf(address), Zone: "z0"}, registry.New(time.Minute, now), now)
+	store.SetCatalog(&catalog.Catalog{Number: 7})
+	ctx, cancel := context.WithCancel(t.Context())
+	slow := &slowListener{Listener: l, delay: greetingDelay}
+	p := &feed.Publisher{Store: store, Listener: slow}
+	done := make(chan error, 2)
+	go func() { done <- p.Run(ctx) }()
+	f := &follower{
+		Hello: feed.Hello{VM: "front-1", Zone: "z0", Role: feed.Entry}, Port: address.Port(), Log: zap.NewNop(),
+		Core: steering.New("z0", nil), Apply: func(*mirror, *mirrorChange, time.Time) {},
+	}
+	f.setSeeds([]netip.AddrPort{address})
+	go func() { done <- f.run(ctx) }()
+	for f.number() == 0 && time.Since(now) < 4*greetingDelay {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if got := f.number(); got != 7 {
+		t.Errorf("after %v: got catalog %d, want 7", time.Since(now), got)
+	}
+	// One attempt of each round gives up; the next one waits longer.
+	if n := slow.accepted.Load(); n > searchRounds+1 {
+		t.Errorf("got %d connections to the slow hub, want at most %d", n, searchRounds+1)
+	}
+	cancel()
+	<-done
+	<-done
+}
+
+// slowListener returns connections whose first read takes at least delay.
+type slowListener struct {
+	net.Listener
+	delay    time.Duration
+	accepted atomic.Int64
+}
+
+type slowConn struct {
+	net.Conn
+	once  sync.Once
+	delay time.Duration
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.accepted.Add(1)
+	return &slowConn{Conn: conn, delay: l.delay}, nil
+}
+
+func (c *slowConn) Read(b []byte) (int, error) {
+	c.once.Do(func() { time.Sleep(c.delay) })
+	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
 // publishOn starts the feed of a hub on an address, with a catalog that may be nil.
 // It returns the address with the port in use.
 func publishOn(t *testing.T, ctx context.Context, address string, c *catalog.Catalog) netip.AddrPort {
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -197,7 +197,7 @@
 	c.eventually(fmt.Sprintf("feed of hub %d", i), func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
-		s, err := feed.Open(ctx, AddressOf(c.hubs[i].Settings.ID(), c.ports[1]), &feed.Hello{VM: "e", Zone: "z0", Role: feed.Entry})
+		s, err := feed.Open(ctx, AddressOf(c.hubs[i].Settings.ID(), c.ports[1]), &feed.Hello{VM: "e", Zone: "z0", Role: feed.Entry}, feed.IdleTimeout)
 		if err != nil {
 			return err
 		}
--- a/internal/hub/peers.go
+++ b/internal/hub/peers.go
@@ -69,7 +69,7 @@
 func (d *Daemon) followHub(ctx context.Context, id fleet.VMID) {
 	hello := &feed.Hello{VM: d.Settings.ID(), Zone: d.Settings.Zone, Role: feed.Control}
 	for ctx.Err() == nil {
-		sub, err := feed.Open(ctx, AddressOf(id, d.Settings.Feed), hello)
+		sub, err := feed.Open(ctx, AddressOf(id, d.Settings.Feed), hello, feed.IdleTimeout)
 		if err == nil {
 			d.Log.Info("feed of a hub connected", zap.String("Hub", string(id)))
 			err = d.mergeFeed(id, sub)
