--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -54,7 +54,10 @@
 	confirmTimeout = 700 * time.Millisecond
 	// readHeaderTimeout bounds the time to read the headers of an HTTP request.
 	readHeaderTimeout = 2 * time.Second
-	maxHeaderBytes    = 16 << 10
+	// idleConnTimeout is the time without a call after which a connection is closed.
+	// It is some announcement intervals, so that the connections of targets stay open.
+	idleConnTimeout = 15 * time.Second
+	maxHeaderBytes  = 16 << 10
 )
 
 type (
@@ -72,8 +75,9 @@
 		// Collectors collect the metrics of the HTTP interface.
 		Collectors []prometheus.Collector
 
-		store     *feed.Store
-		transport *replication.Transport
+		store       *feed.Store
+		transport   *replication.Transport
+		connections limitListener
 		// loop is nil while the replica is down.
 		loop    atomic.Pointer[replicaLoop]
 		role    string
@@ -328,7 +332,9 @@
 }
 
 func (d *Daemon) serve(ctx context.Context, l net.Listener) error {
-	server := &http.Server{Handler: d.Handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{
+		Handler: d.Handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	stopped := make(chan struct{})
 	context.AfterFunc(ctx, func() {
 		defer close(stopped)
@@ -338,7 +344,8 @@
 			server.Close()
 		}
 	})
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	d.connections.Listener, d.connections.max = l, maxConnections
+	if err := server.Serve(&d.connections); !errors.Is(err, http.ErrServerClosed) {
 		return &OpenError{What: "the HTTP interface", Err: err}
 	}
 	<-stopped
--- a/internal/hub/observe.go
+++ b/internal/hub/observe.go
@@ -19,6 +19,8 @@
 	hubsDesc           = newDesc("hubs", "Hubs that the log names.")
 	sharedSuspectsDesc = newDesc("shared_doubts", "Targets that do not answer several entry VMs.")
 	sharedOverdueDesc  = newDesc("shared_overdue", "Targets at which requests of several entry VMs were overdue.")
+	connectionsDesc    = newDesc("http_connections", "Open HTTP connections of targets and operators.")
+	refusedConnsDesc   = newDesc("http_connections_refused_total", "HTTP connections closed at once because too many were open.")
 	failedSavesDesc    = newDesc("failed_saves_total", "Failed writes of the published state.")
 	leftOutDesc        = newDesc("hub_log_lines_left_out_total", "Log lines of a hub left out because of their number.")
 	droppedDesc        = newDesc("hub_log_lines_dropped_total", "Log lines of a hub lost because the output was not read.")
@@ -27,7 +29,8 @@
 // Descriptions returns the descriptions of the metrics of a hub.
 func Descriptions() []*prometheus.Desc {
 	return []*prometheus.Desc{
-		targetsDesc, subscribersDesc, publishedDesc, currentDesc, hubsDesc, sharedSuspectsDesc, sharedOverdueDesc, failedSavesDesc, leftOutDesc, droppedDesc,
+		targetsDesc, subscribersDesc, publishedDesc, currentDesc, hubsDesc, sharedSuspectsDesc, sharedOverdueDesc, connectionsDesc, refusedConnsDesc,
+		failedSavesDesc, leftOutDesc, droppedDesc,
 	}
 }
 
@@ -80,6 +83,8 @@
 	gauge(hubsDesc, float64(s.Hubs))
 	gauge(sharedSuspectsDesc, float64(s.SharedSuspects))
 	gauge(sharedOverdueDesc, float64(s.SharedOverdue))
+	gauge(connectionsDesc, float64(c.d.connections.open.Load()))
+	counter(refusedConnsDesc, c.d.connections.refused.Load())
 	counter(failedSavesDesc, c.d.failedSaves.Load())
 	counter(leftOutDesc, c.d.limiter.LeftOut())
 	counter(droppedDesc, c.d.LinesDropped())
