Packets that arrive before a VM's first state are held, not dropped

Cause: after a loss of power everywhere an entry VM runs 0.2 to 0.45 s before the first hub does and dropped all packets meanwhile (cause NoCatalog). A caller sends its opening packet after 0, 200 and 600 ms only, and then waits until 1.4 s; a request on an open flow is repeated after 1.4 and 3.0 s, past its deadline. Besides, four attempts to hubs without power took 0.4 s each, so that a hub that ran was called up to 0.2 s late. Ruled out: the return of the catalog (hubs publish their saved state before they listen) and targets (no queue beyond 0.3 s).

Change: steering.Backlog holds packets within bounds of number, bytes and age, one opening packet a flow, and they are decided at once with the first state; log lines tell how long. A connection to a hub is given up after 150 ms.

--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -12,8 +12,9 @@
 )
 
 // dialTimeout bounds the wait for a connection. A VM without power does not refuse
-// connections but leaves them unanswered.
-const dialTimeout = 400 * time.Millisecond
+// connections but leaves them unanswered, and a packet to it is repeated by the
+// kernel after a second only. It is some round trips between regions.
+const dialTimeout = 150 * time.Millisecond
 
 // GreetingTimeoutError reports a publisher that has accepted a connection but has
 // sent no greeting in time. Unlike a publisher without power, it may only be slow.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -86,6 +86,7 @@
 
 		core        *steering.Core
 		salt        uint64
+		backlog     steering.Backlog
 		conn        *net.UDPConn
 		follower    follower
 		checker     checker
@@ -212,7 +213,9 @@
 	} else {
 		d.core.Change(c.records, now)
 	}
-	if m.ready() && !d.ready.Swap(true) {
+	if m.ready() && !d.ready.Load() {
+		d.ready.Store(true)
+		d.releaseBacklog(now)
 		d.Log.Info("entry VM is ready", zap.Uint64("Number", uint64(m.number())), zap.Int("Targets", len(m.records)))
 	}
 }
@@ -260,13 +263,31 @@
 			d.invalid.Add(1)
 			continue
 		}
-		out = d.execute(out[:0], b, &p, time.Now())
+		now := time.Now()
+		if !d.ready.Load() && d.backlog.Hold(&p, b, now) {
+			continue
+		}
+		out = d.execute(out[:0], b, &p, 0, now)
+	}
+}
+
+// releaseBacklog executes the decisions about the packets that arrived before this
+// VM was ready.
+func (d *Daemon) releaseBacklog(now time.Time) {
+	packets, dropped := d.backlog.Release(now)
+	d.Log.Info("packets held until the VM was ready", zap.Int("Released", len(packets)), zap.Int("Dropped", dropped))
+	var out []byte
+	for i := range packets {
+		h := &packets[i]
+		out = d.execute(out[:0], h.Data, &h.Packet, now.Sub(h.Arrived), now)
 	}
 }
 
-func (d *Daemon) execute(out, b []byte, p *steering.Packet, now time.Time) []byte {
+// execute decides about a packet, which was held for some time before, and carries
+// out the decision.
+func (d *Daemon) execute(out, b []byte, p *steering.Packet, held time.Duration, now time.Time) []byte {
 	decision := d.core.Decide(p, now)
-	d.observer.logDecision(p, &decision, now)
+	d.observer.logDecision(p, &decision, held, now)
 	var to netip.AddrPort
 	switch decision.Op {
 	case steering.Forward:
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -52,8 +52,9 @@
 }
 
 // logDecision logs a decision, unless the decision forwards a packet of an open
-// flow or the rate limit suppresses the log line.
-func (o *observer) logDecision(p *steering.Packet, d *steering.Decision, now time.Time) {
+// flow or the rate limit suppresses the log line. held is how long the packet was
+// held before.
+func (o *observer) logDecision(p *steering.Packet, d *steering.Decision, held time.Duration, now time.Time) {
 	if d.Cause == steering.CauseFlow || d.Cause == steering.CauseCookie {
 		return
 	}
@@ -75,6 +76,9 @@
 	if p.Opening {
 		fields = append(fields, zap.Uint32(logging.Copy, p.Copy), zap.String(logging.Service, string(d.Service)))
 	}
+	if held > 0 {
+		fields = append(fields, zap.Duration("Held", held))
+	}
 	if d.Former != nil {
 		fields = append(fields, targetField(logging.Former, d.Former))
 	}
