balancer: a view with earlier settings is ignored

In the simulation two changes of weights 20 ms apart reached 11 of 12 VMs in either order, so that the VMs of one zone kept the older weights for good and both zones decided the same orders. In the daemon one goroutine builds views from a revision that only rises, so that this can't happen there; the core did not insist on it. Ruled out: two zones that disagree while a change spreads (the former home zone is asked and remembers the move).

Change: SetView ignores a view of a lower revision. The simulation numbers the changes of settings and goes on delivering views in any order.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -103,10 +103,10 @@
 func (b *Balancer) SetLease(until time.Time) { b.leaseUntil = until }
 
 // SetView makes the frozen view v the current view; it ignores a view of an
-// earlier epoch. The next Tick returns the actions that follow from the
+// earlier epoch or of earlier settings. The next Tick returns the actions that follow from the
 // change, such as passing queued requests to another VM.
 func (b *Balancer) SetView(v *fleet.View, now time.Time) {
-	if b.view != nil && v.Epoch < b.view.Epoch {
+	if b.view != nil && (v.Epoch < b.view.Epoch || v.Revision < b.view.Revision) {
 		return
 	}
 	b.checkLease(now)
--- a/pkg/balancer/sim_test.go
+++ b/pkg/balancer/sim_test.go
@@ -23,18 +23,21 @@
 	// time. All randomness comes from rng, so that a run can be repeated with
 	// the same seed.
 	sim struct {
-		now     time.Time
-		rng     *rand.Rand
-		queue   simEvents
-		seq     int
-		zones   []*simZone
-		vms     map[fleet.VMID]*simVM
-		sorted  []*simVM // by id; a VM that restarts has a new id
-		targets map[netip.AddrPort]*simTarget
-		callers map[fleet.FlowKey]*caller
-		cfg     simConfig
-		history []historyEntry
-		trace   func(format string, args ...any)
+		now   time.Time
+		rng   *rand.Rand
+		queue simEvents
+		seq   int
+		zones []*simZone
+		// revision counts the changes of settings; VMs apply them in any order of
+		// arrival.
+		revision fleet.Revision
+		vms      map[fleet.VMID]*simVM
+		sorted   []*simVM // by id; a VM that restarts has a new id
+		targets  map[netip.AddrPort]*simTarget
+		callers  map[fleet.FlowKey]*caller
+		cfg      simConfig
+		history  []historyEntry
+		trace    func(format string, args ...any)
 	}
 
 	simConfig struct {
@@ -226,7 +229,7 @@
 
 // newView returns the current view of a zone.
 func (s *sim) newView(zone *simZone) *fleet.View {
-	v := &fleet.View{Zone: zone.id, Epoch: zone.epoch, Sealed: zone.sealed, Members: members(zone.members),
+	v := &fleet.View{Zone: zone.id, Epoch: zone.epoch, Sealed: zone.sealed, Revision: s.revision, Members: members(zone.members),
 		Targets: slices.Clone(zone.targets), Listeners: []fleet.Listener{lookups, orders, sheets}}
 	for _, z := range s.zones {
 		v.Zones = append(v.Zones, fleet.Zone{ID: z.id, Weight: z.weight, State: z.state, Reachable: z == zone || !z.unreachable && !zone.unreachable,
