balancer: a request on a reused flow never proves that it was not run

Change: a start packet with another instance than its flow's entry makes a decision that never reports NotRun, and the flow stays known as possibly run for the retention time, also after the drop. Orders are not concerned: their entries are never replaced.

--- a/pkg/balancer/core_test.go
+++ b/pkg/balancer/core_test.go
@@ -78,6 +78,50 @@
 	}
 }
 
+// Guards against a VM that returns to earlier settings because a view with them
+// arrives late.
+func TestSetViewIgnoresEarlierSettings(t *testing.T) {
+	b, v, now := newSingle(t, Config{}, 1)
+	later := nextView(t, v, 0, "vm")
+	later.Revision = 7
+	b.SetView(later, now)
+	earlier := nextView(t, v, 0, "vm")
+	earlier.Revision = 6
+	b.SetView(earlier, now)
+	if got := b.view.Revision; got != 7 {
+		t.Errorf("got settings %d, want 7", got)
+	}
+}
+
+// Guards against a refusal that says that a request was not run although it ran: a
+// late copy of an earlier request from the same port makes the copies of the later
+// one look like new requests.
+func TestReusedPortProvesNothing(t *testing.T) {
+	b, _, now := newSingle(t, Config{HeldPackets: 1}, 1)
+	flow := testFlow(&lookups, 1)
+	start := func(f fleet.FlowKey, instance uint32) []Action {
+		return b.Handle(Packet{Flow: f, Source: FromFabric, Start: true, Instance: instance}, now, nil)
+	}
+	at := wantOne(t, start(flow, 2), Forward).Target
+	wantOne(t, start(flow, 1), Forward) // a late copy of the earlier request
+	b.Handle(Packet{Flow: flow, Source: FromTarget, Target: at, End: Done}, now, nil)
+	for n := 2; b.Spare()["Lutto/Counter"] > 0; n++ {
+		wantOne(t, start(testFlow(&lookups, n), 1), Forward)
+	}
+	start(testFlow(&lookups, 100), 1) // fills the queue
+	if a := wantOne(t, start(testFlow(&lookups, 101), 1), Refuse); a.Outcome != fleet.NotRun {
+		t.Fatalf("new request without a place: got %+v, want a refusal with NotRun", a)
+	}
+	for range 3 {
+		for _, a := range start(flow, 2) {
+			if a.Op == Refuse && a.Outcome == fleet.NotRun {
+				t.Fatalf("copy of a request that ran: got %+v, want no refusal", a)
+			}
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+}
+
 // Guards against a VM that drops orders after a change of view because it
 // discarded its decisions while it waited for its lease in the new epoch. Also
 // guards against a VM that relies on old decisions although it missed an epoch
--- a/pkg/balancer/flow.go
+++ b/pkg/balancer/flow.go
@@ -12,7 +12,10 @@
 // handleKnown handles a packet of a flow that has an entry.
 func (b *Balancer) handleKnown(i uint32, p *Packet, now time.Time, out []Action) []Action {
 	e := &b.flows.entries[i]
-	if p.Start && b.isNewRequest(e, p) || b.isStale(e) {
+	if p.Start && b.isNewRequest(e, p) {
+		return b.handleReusedFlow(i, p, now, out)
+	}
+	if b.isStale(e) {
 		b.removeFlow(i, admission.Completed, now)
 		return b.routeUnknown(p, now, out)
 	}
@@ -35,6 +38,21 @@
 	return b.handleUnknownResult(i, p, now, out)
 }
 
+// handleReusedFlow handles a start packet with another instance than the entry. It
+// is a new request, or a late copy of an earlier one: instances have no order. The
+// request may therefore have run, so that the new decision never reports NotRun.
+// The entry stays until that decision replaces it.
+func (b *Balancer) handleReusedFlow(i uint32, p *Packet, now time.Time, out []Action) []Action {
+	e := &b.flows.entries[i]
+	b.freeSlot(e, admission.Completed, now)
+	if e.state != stateAway {
+		b.transition(e, eventLose)
+		e.expires = tick(now) + b.listeners.all[e.listener].retention
+	}
+	p.mayHaveRun = true
+	return b.routeUnknown(p, now, out)
+}
+
 // updateInstance stores the instance of a start packet in the entry. It
 // returns false if the instance differs from that of the entry and the request
 // is non-idempotent, because the entry does not show where that request may
--- a/pkg/balancer/route.go
+++ b/pkg/balancer/route.go
@@ -335,6 +335,12 @@
 	e := &b.flows.entries[i]
 	l := &b.listeners.all[e.listener]
 	b.freeSlot(e, admission.Shed, now)
+	if p.mayHaveRun {
+		// Later copies must not look like those of a request that is new here.
+		b.transition(e, eventLose)
+		e.expires = tick(now) + l.retention
+		return b.drop(p, cause, out)
+	}
 	if e.flags&flagProvenNotRun == 0 || !b.stillDecides(e, now) || b.refusals >= b.cfg.MaxFlows/2 {
 		b.removeFlow(i, admission.Cancelled, now)
 		return b.drop(p, cause, out)
