balancer: a VM that missed epochs proves nothing about targets that it owned

It had owned the target long before and therefore replied with authority that it held no such flow; the order ran a second time.

Change: forgetDecisions also forgets that destinations were owned, also those lost before, so that the reply is uncertain and the order is dropped as unknown.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -165,8 +165,11 @@
 	for i := range b.dests.all {
 		d := &b.dests.all[i]
 		if d.owned {
-			d.owned, d.wasOwned, d.ownedUntil, d.outgoing = false, true, tick(now), nil
+			d.owned, d.outgoing = false, nil
 		}
+		// Another VM may have owned the destination since, also if this VM had lost it
+		// before, so that its replies to an Ask prove nothing.
+		d.wasOwned = false
 	}
 }
 
--- a/pkg/balancer/random_test.go
+++ b/pkg/balancer/random_test.go
@@ -55,6 +55,7 @@
 	}},
 	{"change weights", func(s *sim, n int) {
 		s.zones[n%len(s.zones)].weight = float64(1 + n%3)
+		s.revision++
 		for _, z := range s.zones {
 			s.distributeView(z)
 		}
@@ -164,18 +165,21 @@
 // replaying their seeds.
 func TestFoundSeeds(t *testing.T) {
 	for seed, fault := range map[uint64]string{
-		899:   "a frozen VM forwards to an address that another service has taken over",
-		3451:  "a frozen VM forwards to an address that another service has taken over",
-		4053:  "the last owner of a removed target is not asked about the flows of the target",
-		4080:  "a VM that passed a flow to another zone decides after its own next epoch",
-		50413: "a returned offer is forgotten together with an earlier request from the same port",
-		50705: "a VM relies on a returned offer although another VM owned the destination in between",
-		52467: "the next owner of a destination adopts a late duplicate of a passed order",
-		61178: "a return by an owner of an earlier epoch is taken for one of the current epoch",
-		61400: "a return by an owner of an earlier epoch is taken for one of the current epoch",
-		61628: "a late start packet runs where a later packet of the flow was adopted",
-		62376: "a held start packet runs where a later packet of the flow was adopted",
-		41013: "a VM that was paused while it joined passes packets that waited in its sockets",
+		899:    "a frozen VM forwards to an address that another service has taken over",
+		3451:   "a frozen VM forwards to an address that another service has taken over",
+		4053:   "the last owner of a removed target is not asked about the flows of the target",
+		4080:   "a VM that passed a flow to another zone decides after its own next epoch",
+		50413:  "a returned offer is forgotten together with an earlier request from the same port",
+		50705:  "a VM relies on a returned offer although another VM owned the destination in between",
+		52467:  "the next owner of a destination adopts a late duplicate of a passed order",
+		61178:  "a return by an owner of an earlier epoch is taken for one of the current epoch",
+		61400:  "a return by an owner of an earlier epoch is taken for one of the current epoch",
+		61628:  "a late start packet runs where a later packet of the flow was adopted",
+		62376:  "a held start packet runs where a later packet of the flow was adopted",
+		41013:  "a VM that was paused while it joined passes packets that waited in its sockets",
+		80284:  "a late copy of an earlier request from the port makes a later copy look like a new request",
+		101348: "a VM that missed an epoch replies that it does not hold the flows of a target which it owned in that epoch",
+		90029:  "views with older weights arrive after newer ones",
 	} {
 		t.Run(fmt.Sprintf("%d: %s", seed, fault), func(t *testing.T) {
 			t.Parallel()
