hub: a planned stop answers the calls that arrive while it lasts

Besides, the messages that transfer the leadership of the log were sent while the connections ended.

Change: for an announcement interval the hub answers each call with Connection: close, then closes its port, then stops the replica, and ends the connections to others 50 ms later.

--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -34,8 +34,18 @@
 	dirMode          = 0o700
 	// logDir is the subdirectory of the data directory with the replica's files.
 	logDir = "log"
+	// drainMargin is added to the announcement interval for the time for which a hub
+	// that stops as planned still answers calls, and asks its clients to close their
+	// connections: each target has then made a call.
+	drainMargin = 100 * time.Millisecond
+	// maxDrainTime bounds that time. It is less than half of the time that the users'
+	// platform allows for a stop.
+	maxDrainTime = 2 * time.Second
 	// stopTimeout bounds the wait for HTTP requests in progress at a planned stop.
 	stopTimeout = 500 * time.Millisecond
+	// transferTime is the time between the transfer of the leadership and the end of
+	// the connections to other hubs at a planned stop.
+	transferTime = 50 * time.Millisecond
 	// reopenDelay is the delay before a replica that has stopped because of a disk
 	// failure is opened again.
 	reopenDelay = 500 * time.Millisecond
@@ -78,6 +88,7 @@
 		store       *feed.Store
 		transport   *replication.Transport
 		connections limitListener
+		draining    atomic.Bool
 		// loop is nil while the replica is down.
 		loop    atomic.Pointer[replicaLoop]
 		role    string
@@ -151,7 +162,10 @@
 	return d.Settings.Seeds
 }
 
-// Run serves until ctx ends. It returns an OpenError if a port can't be opened or
+// Run serves until ctx ends, and then stops in the order in which others depend on
+// it: it goes on answering calls until every target has had one answered with the
+// header Connection: close, then closes the HTTP interface, transfers the leadership
+// of the log, and ends the feeds. It returns an OpenError if a port can't be opened or
 // the HTTP server fails, or the error of another server that fails.
 func (d *Daemon) Run(ctx context.Context) error {
 	now := time.Now()
@@ -189,7 +203,13 @@
 			return err
 		}
 	}
-	group, ctx := errgroup.WithContext(ctx)
+	stopping := ctx
+	workCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, ctx := errgroup.WithContext(workCtx)
+	replicaCtx, stopReplica := context.WithCancel(ctx)
+	defer stopReplica()
+	replicaStopped := make(chan struct{})
 	d.transport = &replication.Transport{
 		Self:     self,
 		Listener: replicationListener,
@@ -200,11 +220,21 @@
 	d.Log.Info("hub started", zap.String("Zone", string(d.Settings.Zone)), zap.Bool("First", d.Settings.First))
 	group.Go(func() error { return d.transport.Run(ctx) })
 	group.Go(func() error { return publisher.Run(ctx) })
-	group.Go(func() error { return d.runReplica(ctx) })
+	group.Go(func() error {
+		defer close(replicaStopped)
+		return d.runReplica(replicaCtx)
+	})
 	group.Go(func() error { return d.runTicks(ctx) })
 	group.Go(func() error { return d.runCache(ctx) })
 	group.Go(func() error { return d.followHubs(ctx) })
-	group.Go(func() error { return d.serve(ctx, httpListener) })
+	group.Go(func() error {
+		err := d.serve(stopping, ctx, httpListener)
+		stopReplica()
+		<-replicaStopped
+		time.Sleep(transferTime)
+		stop()
+		return err
+	})
 	group.Go(func() error {
 		collectors := append(d.Collectors, &collector{d}, &replication.Collector{Loop: d.currentLoop})
 		return logging.ServeMetrics(ctx, metricsListener, collectors...)
@@ -331,19 +361,26 @@
 	}
 }
 
-func (d *Daemon) serve(ctx context.Context, l net.Listener) error {
+// serve serves the HTTP interface until stopping ends and it has been drained, or
+// until ctx ends.
+func (d *Daemon) serve(stopping, ctx context.Context, l net.Listener) error {
 	server := &http.Server{
-		Handler: d.Handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: d.closeWhileDraining(d.Handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	stopped := make(chan struct{})
-	context.AfterFunc(ctx, func() {
+	go func() {
 		defer close(stopped)
+		select {
+		case <-stopping.Done():
+			d.drain(ctx)
+		case <-ctx.Done():
+		}
 		shutdownCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 		defer cancel()
 		if server.Shutdown(shutdownCtx) != nil {
 			server.Close()
 		}
-	})
+	}()
 	d.connections.Listener, d.connections.max = l, maxConnections
 	if err := server.Serve(&d.connections); !errors.Is(err, http.ErrServerClosed) {
 		return &OpenError{What: "the HTTP interface", Err: err}
@@ -351,3 +388,25 @@
 	<-stopped
 	return nil
 }
+
+// drain waits until every target has had time to make a call, or until ctx ends.
+func (d *Daemon) drain(ctx context.Context) {
+	d.Log.Info("hub is draining")
+	d.draining.Store(true)
+	select {
+	case <-time.After(min(d.Settings.AnnounceInterval+drainMargin, maxDrainTime)):
+	case <-ctx.Done():
+	}
+}
+
+// closeWhileDraining returns a handler that asks clients to close their connections
+// while this hub is draining. A connection that the server closed by itself could
+// carry a call at that moment, which would stay without an answer.
+func (d *Daemon) closeWhileDraining(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -50,6 +51,8 @@
 		ports [3]uint16
 		seeds []netip.AddrPort
 		hubs  []*runningHub
+		// handler is the HTTP interface of all hubs; nil serves nothing.
+		handler http.Handler
 	}
 
 	runningHub struct {
@@ -98,7 +101,7 @@
 			AnnounceInterval: time.Second,
 		},
 		Parse:        parse,
-		Handler:      http.NotFoundHandler(),
+		Handler:      cmp.Or(c.handler, http.NotFoundHandler()),
 		Log:          zap.NewNop(),
 		LinesDropped: func() uint64 { return 0 },
 	}
