balancer: a handover that restarts has all flows of its first candidate

Change: flows are marked as moved only while no transfer is pending. Ruled out: keeping transfers whose owner is the same, which leaves the same hole when the owner changes.

--- a/pkg/balancer/flow.go
+++ b/pkg/balancer/flow.go
@@ -362,6 +362,7 @@
 
 // sweep checks the next part of the flow table for expired flows.
 func (b *Balancer) sweep(now time.Time, out []Action) []Action {
+	pending := b.transfersPending()
 	n := len(b.flows.entries)/sweepSteps + 1
 	for ; n > 0 && len(b.flows.entries) > 0; n-- {
 		if b.sweepIndex >= len(b.flows.entries) {
@@ -369,18 +370,20 @@
 			b.sweepReplicatedExceptions(now)
 		}
 		if b.flows.entries[b.sweepIndex].live() {
-			out = b.sweepFlow(uint32(b.sweepIndex), now, out)
+			out = b.sweepFlow(uint32(b.sweepIndex), !pending, now, out)
 		}
 		b.sweepIndex++
 	}
 	return out
 }
 
-func (b *Balancer) sweepFlow(i uint32, now time.Time, out []Action) []Action {
+// sweepFlow removes or finishes a flow that has expired. With markMoved, it marks a
+// flow whose new owner has its record.
+func (b *Balancer) sweepFlow(i uint32, markMoved bool, now time.Time, out []Action) []Action {
 	e := &b.flows.entries[i]
 	l := &b.listeners.all[e.listener]
 	t := tick(now)
-	if b.markMovedAfterHandover(e, now) {
+	if markMoved && b.markMovedAfterHandover(e, now) {
 		return out
 	}
 	switch e.state {
--- a/pkg/balancer/handover.go
+++ b/pkg/balancer/handover.go
@@ -269,8 +269,20 @@
 	}
 }
 
+// transfersPending reports whether a transfer of another destination is incomplete.
+func (b *Balancer) transfersPending() bool {
+	for i := range b.dests.all {
+		if b.dests.all[i].outgoing != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // markMovedAfterHandover marks an entry as moved if the new owner has received all
-// records of the entry's destination. It reports whether the entry was marked.
+// records of the entry's destination. It reports whether the entry was marked. It
+// is not called while transfers are pending: if one of them restarts, it needs the
+// destinations of all flows whose first candidate it transfers.
 func (b *Balancer) markMovedAfterHandover(e *flowEntry, now time.Time) bool {
 	switch e.state {
 	case stateRunning, stateEnding, stateEnded, stateUnknown:
--- a/pkg/balancer/random_test.go
+++ b/pkg/balancer/random_test.go
@@ -178,6 +178,7 @@
 		62376:  "a held start packet runs where a later packet of the flow was adopted",
 		41013:  "a VM that was paused while it joined passes packets that waited in its sockets",
 		80284:  "a late copy of an earlier request from the port makes a later copy look like a new request",
+		111755: "a handover that restarts lacks the flows at destinations whose handover was complete",
 		101348: "a VM that missed an epoch replies that it does not hold the flows of a target which it owned in that epoch",
 		90029:  "views with older weights arrive after newer ones",
 	} {
