--- a/pkg/balancer/core_test.go
+++ b/pkg/balancer/core_test.go
@@ -78,6 +78,32 @@
 	}
 }
 
+// Guards against batches of exceptions that are sent in a random order, so that a seed
+// of the simulation does not repeat.
+func TestExceptionsAreSentInOrder(t *testing.T) {
+	var want []string
+	for run := range 20 {
+		b, _, now := newSingle(t, Config{}, 1)
+		for i := range 16 {
+			b.addException("other", fleet.TargetKey(uint64(i*i+1)*0x9e3779b97f4a7c15), 1, 1, false)
+		}
+		b.flushBatches(now.Add(time.Second))
+		var got []string
+		for _, m := range b.outbox.messages {
+			got = append(got, string(m.body))
+		}
+		if run == 0 {
+			want = got
+		}
+		if !slices.Equal(got, want) {
+			t.Fatalf("run %d: got the messages in another order than in the first run", run)
+		}
+	}
+	if len(want) != 16 {
+		t.Errorf("got %d messages, want 16", len(want))
+	}
+}
+
 // Guards against a VM that returns to earlier settings because a view with them
 // arrives late.
 func TestSetViewIgnoresEarlierSettings(t *testing.T) {
--- a/pkg/balancer/exception.go
+++ b/pkg/balancer/exception.go
@@ -1,8 +1,8 @@
 package balancer
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"bamboowalk.org/bamboowalk/pkg/fleet"
@@ -111,10 +111,7 @@
 		keys = append(keys, k)
 	}
 	slices.SortFunc(keys, func(x, y batchKey) int {
-		if c := strings.Compare(string(x.to), string(y.to)); c != 0 {
-			return c
-		}
-		return int(int64(x.first>>1) - int64(y.first>>1)>>32)
+		return cmp.Or(cmp.Compare(x.to, y.to), cmp.Compare(x.first, y.first))
 	})
 	for _, k := range keys {
 		b.sendExceptions(k, b.batches.records[k], now)
@@ -188,10 +185,7 @@
 		keys = append(keys, k)
 	}
 	slices.SortFunc(keys, func(x, y exceptionKey) int {
-		if x.first != y.first {
-			return int(x.first) - int(y.first)
-		}
-		return int(int64(x.fingerprint) - int64(y.fingerprint))
+		return cmp.Or(cmp.Compare(x.first, y.first), cmp.Compare(x.fingerprint, y.fingerprint))
 	})
 	for _, k := range keys {
 		first := &b.dests.all[k.first]
