--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -392,6 +392,30 @@
 	s.waitUpdate("update after malformed data", func(*Update) bool { return true })
 }
 
+// Guards against a state that broke off halfway and is taken for a complete one.
+func TestTruncatedFrames(t *testing.T) {
+	update := &Update{Full: true, Complete: true, Catalog: (&catalog.History{}).Delta(0)}
+	for id := range fleet.Incarnation(100) {
+		update.Records = append(update.Records, record(id+1, 1, fleet.TargetReady))
+	}
+	for _, n := range []int{1, 100} {
+		u := *update
+		u.Records = u.Records[:n]
+		frame, err := encode(&u)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := read(bytes.NewReader(frame), new(Update)); err != nil {
+			t.Fatalf("whole frame with %d records: %v", n, err)
+		}
+		for cut := range len(frame) {
+			if err := read(bytes.NewReader(frame[:cut]), new(Update)); err == nil {
+				t.Errorf("%d records, first %d of %d bytes: got no error, want one", n, cut, len(frame))
+			}
+		}
+	}
+}
+
 // Guards against a panic on malformed data from the network, and against
 // updates that are accepted although they are invalid.
 func FuzzRead(f *testing.F) {
--- a/internal/gateway/check.go
+++ b/internal/gateway/check.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -25,6 +26,8 @@
 	// suspected target. The delay doubles after each failed check.
 	minRecheckDelay = 250 * time.Millisecond
 	maxRecheckDelay = 2 * time.Second
+	// maxCheckBytes bounds the part of an answer that is read.
+	maxCheckBytes = 64 << 10
 	// maxChecks bounds the number of concurrent checks. If this VM has lost its
 	// own links, all targets seem to fail and are checked.
 	maxChecks = 16
@@ -145,5 +148,7 @@
 	if response.StatusCode != http.StatusOK || !c.Matches(response, t) {
 		return &checkError{t.ID.String(), response.StatusCode}
 	}
-	return nil
+	// A target whose answers break off halfway is not healthy.
+	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxCheckBytes))
+	return err
 }
--- a/pkg/balancer/core_test.go
+++ b/pkg/balancer/core_test.go
@@ -215,6 +215,35 @@
 	}
 }
 
+// Guards against a second copy of an answer that reaches the next request from the same
+// port, which is at another target by then.
+func TestLateSecondAnswer(t *testing.T) {
+	b, v, now := newSingle(t, Config{}, 3)
+	flow := testFlow(&lookups, 1)
+	start := func(f fleet.FlowKey, instance uint32) fleet.TargetID {
+		return wantOne(t, b.Handle(Packet{Flow: f, Source: FromFabric, Start: true, Instance: instance}, now, nil), Forward).Target
+	}
+	former := start(flow, 1)
+	answer := Packet{Flow: flow, Source: FromTarget, Target: former}
+	wantOne(t, b.Handle(answer, now, nil), Reply)
+	done := answer
+	done.End = Done
+	b.Handle(done, now, nil)
+	draining := nextView(t, v, 1, "vm")
+	for i := range draining.Targets {
+		if draining.Targets[i].ID == former {
+			draining.Targets[i].State = fleet.TargetDraining
+		}
+	}
+	b.SetView(draining, now)
+	if next := start(flow, 2); next == former {
+		t.Fatalf("next request from the port: got target %s again, want another", next)
+	}
+	if a := wantOne(t, b.Handle(answer, now, nil), Drop); a.Cause != CauseForeignAnswer {
+		t.Errorf("second copy of the former answer: got cause %s, want ForeignAnswer", a.Cause)
+	}
+}
+
 // Guards against a SYN flood that evicts established flows from the flow table,
 // and against flows or refusals beyond their limits.
 func TestFloodKeepsEstablishedFlows(t *testing.T) {
--- a/pkg/steering/core_test.go
+++ b/pkg/steering/core_test.go
@@ -199,6 +199,56 @@
 	}
 }
 
+// Guards against an order that reaches two targets because two VMs decide about copies
+// of its opening packet: both targets answer, and only the one whose answer the caller
+// acknowledges gets the request, whichever VM the later packets pass through.
+func TestTwoVMsDecideOneFlow(t *testing.T) {
+	records := []registry.Record{target(1, "counter", "z0"), target(2, "counter", "z0")}
+	a, b := newHarness(t, records...), newHarness(t, records...)
+	f := flowOf(1)
+	first := a.open(f, 0)
+	// b prefers the same target; it must not need to know what a has decided.
+	b.core.SetSharedReports([]fleet.Incarnation{first}, nil)
+	second := b.open(f, 1)
+	if first == second {
+		t.Fatalf("got target %d at both VMs, want two", first)
+	}
+	for _, chosen := range []fleet.Incarnation{first, second} {
+		for range 3 {
+			for _, vm := range []*harness{a, b} {
+				d := vm.core.Decide(&Packet{Flow: f, Cookie: CookieOf(chosen), Data: 900}, vm.now)
+				if chosen == first && (d.Op != Forward || d.Target.ID.Incarnation != first) {
+					t.Errorf("request with the cookie of target %d: got %+v", first, d)
+				}
+				if d.Op == Forward && chosen == second && d.Target.ID.Incarnation == second {
+					t.Errorf("request that target %d has: also forwarded to target %d", first, second)
+				}
+			}
+		}
+	}
+}
+
+// Guards against running requests that are given up, or started again elsewhere,
+// because their target or the announcements of all targets are late for a while.
+func TestSilentTargetKeepsItsFlows(t *testing.T) {
+	s := newHarness(t, target(1, "counter", "z0"), target(2, "counter", "z0"))
+	at := s.open(flowOf(1), 0)
+	s.send(flowOf(1), at, at)
+	for _, silent := range []bool{true, false, true} {
+		for i := range s.records {
+			s.records[i].Silent = silent
+		}
+		s.core.Change(s.records, s.now)
+		s.core.ReportHealth(CookieOf(at), false)
+		s.core.SetSharedReports([]fleet.Incarnation{at}, []fleet.Incarnation{at})
+		s.now = s.now.Add(500 * time.Millisecond)
+		s.send(flowOf(1), at, at)
+		// Another VM, which has no memory of the flow, forwards it too.
+		other := newHarness(t, s.records...)
+		other.send(flowOf(1), at, at)
+	}
+}
+
 // Guards against new flows at draining targets, even if no other target is
 // left.
 func TestDrainingGetsNoFlow(t *testing.T) {
