--- a/cmd/bamboowalk/main.go
+++ b/cmd/bamboowalk/main.go
@@ -13,6 +13,7 @@
 	"bamboowalk.org/bamboowalk/internal/explain"
 	"bamboowalk.org/bamboowalk/internal/load"
 	"bamboowalk.org/bamboowalk/internal/operator"
+	"bamboowalk.org/bamboowalk/internal/report"
 )
 
 // version is set by the release build.
@@ -27,6 +28,7 @@
 		Timeline operator.TimelineCommand `cmd:"" help:"Gather the events of all processes in causal order."`
 		Load     load.Command             `cmd:"" help:"Run experiments in virtual time and compare results."`
 		Explain  explain.Command          `cmd:"" help:"Print what the logs of all processes tell about one flow."`
+		Report   report.Command           `cmd:"" help:"Make an HTML page of what the logs of all processes tell."`
 		Soak     soakCommand              `cmd:"" help:"Run the daemons of the users' platform as processes under random faults, and judge what callers and targets see."`
 		Demo     demoCommand              `cmd:"" help:"Run entry VMs, callers and targets in one process and check the guarantees."`
 		Version  versionCommand           `cmd:"" help:"Print the version."`
