feed: a restarted hub does not renew the targets that it restores

A hub that restores its saved state took each target for heard just now, and told all other hubs so in its next heartbeat, though nobody had: targets that had died were no longer silent anywhere for another silence limit after each restart of a hub. Besides, a hub without a name counted as one whose feed was received.

Change: restored records are not renewals, and Heard begins after the full state, whose records have their ages.

Test failed before: TestRestoredTargetsAreNoNews (0 of 3 targets silent, want 3).

--- a/internal/feed/load_test.go
+++ b/internal/feed/load_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"bytes"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -183,3 +184,49 @@
 		}
 	}
 }
+
+// Guards against dead targets that count as alive again at all hubs each time a hub
+// restarts and restores its saved state.
+func TestRestoredTargetsAreNoNews(t *testing.T) {
+	now := time.Now()
+	a := fleetStore(t, 3, now)
+	saved, err := a.Encode(now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := fleetStore(t, 3, now)
+	for range 40 {
+		now = now.Add(100 * time.Millisecond)
+		b.Tick(now)
+	}
+	if got := b.Stats().Targets[registry.StateSilent]; got != 3 {
+		t.Fatalf("got %d silent targets, want 3", got)
+	}
+	restarted := NewStore(Hub{VM: "a", Zone: "z0"}, registry.New(3*time.Second, now), now)
+	if err := restarted.Restore(saved, now); err != nil {
+		t.Fatal(err)
+	}
+	if got := restarted.Sources(); len(got) != 0 {
+		t.Errorf("hubs whose feeds a restarted hub receives: got %q, want none", got)
+	}
+	c := &cursor{vm: "b", role: Control}
+	for _, encode := range []func() ([]byte, error){
+		func() ([]byte, error) { frame, _, err := restarted.next(c, now); return frame, err },
+		func() ([]byte, error) { return restarted.heartbeat(c, now) },
+	} {
+		frame, err := encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		u := new(Update)
+		if err := read(bytes.NewReader(frame), u); err != nil {
+			t.Fatal(err)
+		}
+		if err := b.ApplyUpdate("a", u, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := b.Stats().Targets[registry.StateSilent]; got != 3 {
+		t.Errorf("after the restart of another hub: got %d silent targets, want 3", got)
+	}
+}
--- a/internal/feed/saved.go
+++ b/internal/feed/saved.go
@@ -68,5 +68,20 @@
 	for i := range u.Records {
 		u.Records[i].Age, u.Records[i].Warmup, u.Records[i].Silent = 0, 0, false
 	}
-	return s.ApplyUpdate("", &Update{Catalog: u.Catalog, Records: u.Records}, now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if u.Catalog != nil {
+		c, err := s.catalog.Newest().Apply(u.Catalog)
+		if err != nil {
+			return err
+		}
+		s.setCatalogLocked(c)
+	}
+	for _, rec := range u.Records {
+		if err := s.targets.Restore(rec, now); err != nil {
+			return err
+		}
+	}
+	s.notify()
+	return nil
 }
--- a/internal/feed/state.go
+++ b/internal/feed/state.go
@@ -175,6 +175,8 @@
 	}
 	c.state = f.state
 	c.state.number = max(number, f.state.number)
+	// The records tell when their targets were heard.
+	c.heard = s.targets.HeardVersion()
 	f.full[number] = fullUpdate{frame: frame, state: c.state, sentAt: now}
 	return frame, nil
 }
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -139,18 +139,16 @@
 func (s *Store) HubOf(zone fleet.ZoneID, id fleet.Incarnation) fleet.VMID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var chosen fleet.VMID
-	n := uint64(0)
+	var ids []fleet.VMID
 	for _, h := range s.hubs {
-		if h.Zone != zone || h.VM != s.self && !s.sources[h.VM] {
-			continue
-		}
-		n++
-		if uint64(id)%n == 0 {
-			chosen = h.VM
+		if h.Zone == zone && (h.VM == s.self || s.sources[h.VM]) {
+			ids = append(ids, h.VM)
 		}
 	}
-	return chosen
+	if len(ids) == 0 {
+		return ""
+	}
+	return ids[uint64(id)%uint64(len(ids))]
 }
 
 // Hubs returns the published list of hubs. Callers must not modify it.
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -128,18 +128,35 @@
 
 // MergeFrom is Merge for a record from another VM, source.
 func (r *Registry) MergeFrom(source fleet.VMID, rec Record, now time.Time) (bool, error) {
-	if err := rec.Validate(); err != nil {
+	e, err := r.merge(rec, now)
+	if e == nil || err != nil {
 		return false, err
 	}
+	r.recordHeard(e, source)
+	return true, nil
+}
+
+// Restore is Merge for a record that an earlier run of this process has saved. Heard
+// does not list the target, because the target has not been heard since.
+func (r *Registry) Restore(rec Record, now time.Time) error {
+	_, err := r.merge(rec, now)
+	return err
+}
+
+// merge returns the entry of the target, or nil if the record is not added.
+func (r *Registry) merge(rec Record, now time.Time) (*entry, error) {
+	if err := rec.Validate(); err != nil {
+		return nil, err
+	}
 	lastHeard := now.Add(-rec.Age)
 	e := r.entries[rec.Target.ID.Incarnation]
 	if e != nil && !rec.NewerThan(&e.record) {
-		return false, nil
+		return nil, nil
 	}
 	cause := CauseNew
 	if e == nil {
 		if rec.Gone() && rec.Age > GoneRetention {
-			return false, nil
+			return nil, nil
 		}
 		e = new(entry)
 		r.entries[rec.Target.ID.Incarnation] = e
@@ -157,9 +174,8 @@
 	if changed {
 		r.recordChange(e, cause)
 	}
-	r.recordHeard(e, source)
 	r.claimAddress(e, now)
-	return true, nil
+	return e, nil
 }
 
 // Renew records that another VM, source, has heard a target that this registry
