--- a/internal/feed/load_test.go
+++ b/internal/feed/load_test.go
@@ -230,3 +230,38 @@
 		t.Errorf("after the restart of another hub: got %d silent targets, want 3", got)
 	}
 }
+
+// Guards against targets that left while a hub was down for so long that the other
+// hubs have forgotten them, and that come back with the hub's saved state.
+func TestLongDowntimeBringsNothingBack(t *testing.T) {
+	now := time.Now()
+	a := fleetStore(t, 3, now)
+	saved, err := a.Encode(now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := fleetStore(t, 3, now)
+	for id := range fleet.Incarnation(3) {
+		b.Leave(id+1, now)
+	}
+	now = now.Add(registry.GoneRetention + time.Second)
+	b.Tick(now)
+	restarted := NewStore(Hub{VM: "a", Zone: "z0"}, registry.New(3*time.Second, now), now)
+	if err := restarted.Restore(saved, now); err != nil {
+		t.Fatal(err)
+	}
+	frame, _, err := restarted.next(&cursor{vm: "b", role: Control}, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := new(Update)
+	if err := read(bytes.NewReader(frame), u); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.ApplyUpdate("a", u, now); err != nil {
+		t.Fatal(err)
+	}
+	if got := b.Targets(); got != 0 {
+		t.Errorf("targets at the other hub: got %d that have left, want none", got)
+	}
+}
