--- a/pkg/steering/choice_test.go
+++ b/pkg/steering/choice_test.go
@@ -16,7 +16,7 @@
 
 // Ways to choose the target of a new flow.
 const (
-	choiceSample = "sample of 16 (kept)"
+	choiceKept   = "16 preferred (kept)"
 	choiceAll    = "all targets"
 	choiceTwo    = "two at random"
 	choiceSubset = "8 preferred, then 8 more"
@@ -82,7 +82,7 @@
 		return slices.MinFunc(list, func(a, b int) int { return s.running[vm][a] - s.running[vm][b] })
 	}
 	switch s.way {
-	case choiceSample:
+	case choiceKept:
 		c := s.cores[vm]
 		t := c.choose(c.view.services["counter"], 0, s.now)
 		return int(t.ID.Incarnation) - 1
@@ -168,7 +168,7 @@
 	for _, vms := range []int{20, 100} {
 		for _, load := range []struct{ burst, slow float64 }{{3, 0}, {2, 0.05}} {
 			all := newChoiceSim(choiceAll, vms, load.slow).run(load.burst)
-			got := newChoiceSim(choiceSample, vms, load.slow).run(load.burst)
+			got := newChoiceSim(choiceKept, vms, load.slow).run(load.burst)
 			if got > all+tolerance {
 				t.Errorf("%d VMs, burst %g, slow %g: got %.4f late, want at most %.4f and %g", vms, load.burst, load.slow, got, all, tolerance)
 			}
@@ -183,7 +183,7 @@
 	}
 	for _, vms := range []int{20, 100, 300} {
 		for _, load := range []struct{ burst, slow float64 }{{2, 0}, {3, 0}, {2, 0.05}} {
-			for _, way := range []string{choiceAll, choiceSample, choiceTwo, choiceSubset} {
+			for _, way := range []string{choiceAll, choiceKept, choiceTwo, choiceSubset} {
 				late := newChoiceSim(way, vms, load.slow).run(load.burst)
 				fmt.Printf("%d VMs, burst %g, slow targets %g: %-26s %.4f late\n", vms, load.burst, load.slow, way, late)
 			}
