gateway: a search ends when no hub may be called yet

Change: a search without a hub that may be called returns what it has. The time between connections to a silent hub is at most 2.4 s, its patience at most 4.8 s.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -38,13 +38,15 @@
 	maxAttempts = 4
 	// repeatDelay is the time after which another connection to a hub is opened if the
 	// greeting has not arrived, because a connection may go silent without an error.
-	// The delay doubles with each such connection, up to maxPatience.
-	repeatDelay = feed.IdleTimeout / 4
+	// The delay doubles with each such connection, up to maxRepeatDelay, after which a
+	// VM that was cut off finds a hub again.
+	repeatDelay    = feed.IdleTimeout / 4
+	maxRepeatDelay = 2 * feed.IdleTimeout
 	// maxPatience is the maximum time for which a hub that has accepted a connection
 	// may take to send its greeting. The time begins at feed.IdleTimeout and doubles
 	// each time the hub has taken longer: a hub that is overloaded by returning VMs
 	// would never serve VMs that give up before their turn.
-	maxPatience = 8 * feed.IdleTimeout
+	maxPatience = 4 * feed.IdleTimeout
 	// maxRetryDelay is the maximum delay between two searches. The delay begins at
 	// retryDelay and doubles with each search in which no hub has responded.
 	maxRetryDelay = time.Second
@@ -176,7 +178,7 @@
 // maxAttempts attempts are in progress. It returns the first usable hubFeed whose
 // hub is in contact with a majority. While it has found none, it returns:
 //   - the best hubFeed found, if that hubFeed is usable and each candidate has
-//     been tried;
+//     been tried or was silent too recently to be tried again;
 //   - the best hubFeed found, at most attemptDelay after the start of the last
 //     attempt;
 //   - the result of the next attempt that ends, which may be nil, if no hub has
@@ -204,6 +206,10 @@
 				continue
 			}
 			i := f.nextCandidate(candidates, attempts, time.Now())
+			if i < 0 && (pending == 0 || best.usable(number)) {
+				closePending(results, pending)
+				return best
+			}
 			if i < 0 {
 				nextAttempt.Reset(attemptDelay)
 				continue
@@ -321,7 +327,7 @@
 		f.unanswered[id] = r
 	}
 	r.next = now.Add(r.repeat)
-	r.repeat = min(2*r.repeat, maxPatience)
+	r.repeat = min(2*r.repeat, maxRepeatDelay)
 	return r.patience
 }
 
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -234,3 +234,28 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a VM that stays without a feed, and with an earlier catalog, although
+// a hub has answered: other hubs were silent before and are not to be called yet.
+func TestUsableHubIsTakenAtOnce(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	now := time.Now()
+	usable := publishOn(t, ctx, "127.0.0.1:0", &catalog.Catalog{Number: 7})
+	silent := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.9"), usable.Port())
+	f := &follower{
+		Hello: feed.Hello{VM: "front-1", Zone: "z0", Role: feed.Entry}, Port: usable.Port(), Log: zap.NewNop(),
+		Core: steering.New("z0", nil), Apply: func(*mirror, *mirrorChange, time.Time) {},
+	}
+	f.beginGreeting(hub.IDOf(silent), now)
+	f.unanswered[hub.IDOf(silent)].next = now.Add(8 * feed.IdleTimeout)
+	s := f.search(ctx, []fleet.VMID{hub.IDOf(silent), hub.IDOf(usable)}, 1)
+	if d := time.Since(now); s == nil || s.hub != hub.IDOf(usable) || d > feed.IdleTimeout/2 {
+		t.Errorf("after %v: got %+v, want the hub that answers within %v", d, s, feed.IdleTimeout/2)
+	}
+	s.close()
+	now = time.Now()
+	if s := f.search(ctx, []fleet.VMID{hub.IDOf(silent)}, 3); s != nil || time.Since(now) > feed.IdleTimeout/2 {
+		t.Errorf("search without a hub that may be called: got %+v after %v, want none at once", s, time.Since(now))
+	}
+}
