--- a/internal/feed/load_test.go
+++ b/internal/feed/load_test.go
@@ -185,6 +185,21 @@
 	}
 }
 
+// apply decodes a frame of the hub a and applies it to the store of another hub.
+func apply(t *testing.T, s *Store, frame []byte, err error, now time.Time) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := new(Update)
+	if err := read(bytes.NewReader(frame), u); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.ApplyUpdate("a", u, now); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Guards against dead targets that count as alive again at all hubs each time a hub
 // restarts and restores its saved state.
 func TestRestoredTargetsAreNoNews(t *testing.T) {
@@ -210,22 +225,10 @@
 		t.Errorf("hubs whose feeds a restarted hub receives: got %q, want none", got)
 	}
 	c := &cursor{vm: "b", role: Control}
-	for _, encode := range []func() ([]byte, error){
-		func() ([]byte, error) { frame, _, err := restarted.next(c, now); return frame, err },
-		func() ([]byte, error) { return restarted.heartbeat(c, now) },
-	} {
-		frame, err := encode()
-		if err != nil {
-			t.Fatal(err)
-		}
-		u := new(Update)
-		if err := read(bytes.NewReader(frame), u); err != nil {
-			t.Fatal(err)
-		}
-		if err := b.ApplyUpdate("a", u, now); err != nil {
-			t.Fatal(err)
-		}
-	}
+	frame, _, err := restarted.next(c, now)
+	apply(t, b, frame, err, now)
+	frame, err = restarted.heartbeat(c, now)
+	apply(t, b, frame, err, now)
 	if got := b.Stats().Targets[registry.StateSilent]; got != 3 {
 		t.Errorf("after the restart of another hub: got %d silent targets, want 3", got)
 	}
@@ -251,16 +254,7 @@
 		t.Fatal(err)
 	}
 	frame, _, err := restarted.next(&cursor{vm: "b", role: Control}, now)
-	if err != nil {
-		t.Fatal(err)
-	}
-	u := new(Update)
-	if err := read(bytes.NewReader(frame), u); err != nil {
-		t.Fatal(err)
-	}
-	if err := b.ApplyUpdate("a", u, now); err != nil {
-		t.Fatal(err)
-	}
+	apply(t, b, frame, err, now)
 	if got := b.Targets(); got != 0 {
 		t.Errorf("targets at the other hub: got %d that have left, want none", got)
 	}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -137,7 +137,7 @@
 }
 
 // Restore is Merge for a record that an earlier run of this process has saved. Heard
-// does not list the target, because the target has not been heard since.
+// does not list the target, because the target has not announced itself since.
 func (r *Registry) Restore(rec Record, now time.Time) error {
 	_, err := r.merge(rec, now)
 	return err
