--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -272,9 +272,9 @@
 }
 
 // removableMember returns a removable member, or "" if there is none. A learner
-// is removable if it has not been heard from for RemoveAfter. A voter must also
-// meet one of two conditions: a promotable learner can replace it, or the number
-// of voters is even and above two, so that one voter fewer tolerates as many
+// is removable after a silence of RemoveAfter. A voter is removable after the
+// same silence, but only if a promotable learner can replace it, or if the number
+// of voters is even and above two: then one voter fewer tolerates as many
 // failures. A voter is removed before the learner that replaces it is promoted,
 // so that quorums consist of replicas that are known to run.
 func (r *Replica) removableMember() fleet.VMID {
