--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p ../target
-go build -o ../target/review-standin ./standin
+go build -o ../target/review-standin .
