replica: the log has limits in bytes, and a rewrite streams it

No change was acknowledged.

A leader that was elected again and again without a quorum for its entries could add MaxPending in each term.

A rewritten segment has the retained entries in frames of 256 KB; their number stands in the first frame, so that a missing one is damage and not a torn tail. New gauges: log_bytes, pending_bytes, snapshot_transfers.

--- a/internal/replication/metrics.go
+++ b/internal/replication/metrics.go
@@ -20,6 +20,9 @@
 	proposalsDesc = newDesc("proposals_total", "Writes proposed at this replica.")
 	snapshotsDesc = newDesc("snapshots_total", "Snapshots written.")
 	walDesc       = newDesc("segment_bytes", "Size of the write-ahead log in bytes.")
+	logDesc       = newDesc("log_bytes", "Size of the log entries in memory in bytes.")
+	pendingDesc   = newDesc("pending_bytes", "Size of the log entries that are not yet applied in bytes.")
+	transfersDesc = newDesc("snapshot_transfers", "Snapshots that are being sent.")
 )
 
 // Collector collects the metrics of a loop's replica at each scrape. It sends no
@@ -35,6 +38,7 @@
 func Descriptions() []*prometheus.Desc {
 	return []*prometheus.Desc{
 		roleDesc, termDesc, commitDesc, appliedDesc, votersDesc, electionsDesc, syncsDesc, proposalsDesc, snapshotsDesc, walDesc,
+		logDesc, pendingDesc, transfersDesc,
 	}
 }
 
@@ -67,6 +71,9 @@
 	gauge(appliedDesc, float64(s.Applied))
 	gauge(votersDesc, float64(s.Voters))
 	gauge(walDesc, float64(s.SegmentBytes))
+	gauge(logDesc, float64(s.LogBytes))
+	gauge(pendingDesc, float64(s.PendingBytes))
+	gauge(transfersDesc, float64(s.Transfers))
 	counter(electionsDesc, s.Elections)
 	counter(syncsDesc, s.Syncs)
 	counter(proposalsDesc, s.Proposals)
--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -319,7 +319,6 @@
 func (r *Replica) proposeInternalChange(vm fleet.VMID, next Config) {
 	if _, err := r.proposeConfig(vm, next); err == nil {
 		delete(r.joinRequests, vm)
-		r.pendingBytes -= len(r.entry(r.lastIndex()).Data)
 		delete(r.pendingProposals, r.lastIndex())
 	}
 }
--- a/pkg/replica/doc.go
+++ b/pkg/replica/doc.go
@@ -57,17 +57,24 @@
 // of a leader was ahead, later stamps stay constant until the wall clock
 // catches up.
 //
+// Memory: Options.Memory bounds the log. The entries since the last snapshot, those
+// kept for followers that lag behind and those that can't be committed yet have limits
+// in bytes.
+//
 // Files: one directory holds "wal-N" and "snapshot-N". Each segment and
 // snapshot is written to a temporary file, synced and renamed, and then the
 // directory is synced. The files "wal-N" are the segments of the log. A segment
 // starts with the replica's identity, its hard state and the retained entries,
-// so a restart reads only the newest snapshot and the newest segment. Each sync
-// appends one frame with length, sequence number and checksum, and then an
-// empty frame, the sync marker, which is not synced itself. A damaged frame
-// other than the first is a torn tail, and is dropped, if no valid frame
-// follows it. A damaged sync marker is skipped if the only valid frame after it
-// is the record directly after the marker. Any other damage is a CorruptError,
-// and the replica does not start; the caller then clears the directory, and the
-// replica rejoins with a new incarnation. A failed write or sync stops the
+// so a restart reads only the newest snapshot and the newest segment. The
+// retained entries are in frames of their own, so that a rewrite does not hold
+// them in memory a second time; segments of earlier versions, which have them in
+// the first frame, are read as well. Each sync appends one frame with length,
+// sequence number and checksum, and then an empty frame, the sync marker, which is
+// not synced itself. A damaged frame that holds none of the retained entries is a
+// torn tail, and is dropped, if no valid frame follows it. A damaged sync marker is
+// skipped if the only valid frame after it is the record directly after the marker.
+// Any other damage is a CorruptError, and the replica does not start; the caller
+// then clears the directory, and the replica rejoins with a new incarnation. A
+// failed write or sync stops the
 // replica permanently, because the content of the file is unknown afterwards.
 package replica
--- a/pkg/replica/errors.go
+++ b/pkg/replica/errors.go
@@ -42,7 +42,7 @@
 	TooLargeError struct{ Size, Limit int }
 
 	// BusyError reports a command for which there is no room. Pending is the
-	// total size of the proposals that are not yet applied, and Limit is
+	// total size of the entries that are not yet applied, and Limit is
 	// Options.MaxPending, both in bytes.
 	BusyError struct{ Pending, Limit int }
 
@@ -107,7 +107,7 @@
 
 // Error returns the pending size and the limit.
 func (e *BusyError) Error() string {
-	return fmt.Sprintf("no room for the command: %d bytes of proposals are not yet applied, limit is %d bytes", e.Pending, e.Limit)
+	return fmt.Sprintf("no room for the command: %d bytes of entries are not yet applied, limit is %d bytes", e.Pending, e.Limit)
 }
 
 // Error returns the VM and the reason.
--- a/pkg/replica/follower.go
+++ b/pkg/replica/follower.go
@@ -70,9 +70,13 @@
 		r.acknowledgeUpTo(from, m, r.commit)
 		return
 	}
+	if limit := r.opts.Memory / maxSnapshotPart; m.Total > uint64(limit) {
+		r.stop(&TooLargeError{Size: int(m.Total), Limit: limit})
+		return
+	}
 	in := r.incoming
 	if in == nil || in.at != m.Position || in.total != m.Total {
-		in = &incomingSnapshot{at: m.Position, total: m.Total}
+		in = &incomingSnapshot{at: m.Position, total: m.Total, data: make([]byte, 0, m.Total)}
 		r.incoming = in
 	}
 	if m.Offset == uint64(len(in.data)) {
--- a/pkg/replica/fs.go
+++ b/pkg/replica/fs.go
@@ -71,25 +71,25 @@
 
 func (d DirFS) path(name string) string { return filepath.Join(string(d), name) }
 
-// replaceFile atomically creates or replaces a file and makes it durable. A
-// crash leaves the old content, if any, or the new content, and possibly a
-// temporary file. The returned file is open, so that the caller can append to
-// it.
-func replaceFile(fs FS, name string, data []byte) (File, error) {
+// replaceFile atomically creates or replaces a file with the content that write
+// writes, and makes it durable. A crash leaves the old content, if any, or the new
+// content, and possibly a temporary file. The returned file is open, so that the caller
+// can append to it.
+func replaceFile(fs FS, name string, write func(io.Writer) error) (File, error) {
 	tmp := name + tmpSuffix
 	f, err := fs.Create(tmp)
 	if err != nil {
 		return nil, &DiskError{Op: "create", File: tmp, Err: err}
 	}
-	if err := writeAndRename(fs, f, tmp, name, data); err != nil {
+	if err := writeAndRename(fs, f, tmp, name, write); err != nil {
 		f.Close()
 		return nil, err
 	}
 	return f, nil
 }
 
-func writeAndRename(fs FS, f File, tmp, name string, data []byte) error {
-	if _, err := f.Write(data); err != nil {
+func writeAndRename(fs FS, f File, tmp, name string, write func(io.Writer) error) error {
+	if err := write(f); err != nil {
 		return &DiskError{Op: "write", File: tmp, Err: err}
 	}
 	if err := f.Sync(); err != nil {
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -31,8 +31,6 @@
 		firstRound    uint64
 		minLeaseRound uint64
 		reads         []pendingRead
-		// pendingBytes is the total size of the proposals that are not yet applied.
-		pendingBytes int
 	}
 
 	// progress is the replication state of one member. All entries up to match
@@ -140,8 +138,8 @@
 	if len(command) > r.opts.MaxCommand {
 		return 0, &TooLargeError{Size: len(command), Limit: r.opts.MaxCommand}
 	}
-	if r.pendingBytes+len(command) > r.opts.MaxPending {
-		return 0, &BusyError{Pending: r.pendingBytes, Limit: r.opts.MaxPending}
+	if r.unappliedBytes+len(command) > r.opts.MaxPending {
+		return 0, &BusyError{Pending: r.unappliedBytes, Limit: r.opts.MaxPending}
 	}
 	r.stats.Proposals++
 	return r.appendNewEntry(CommandEntry, command), nil
@@ -159,7 +157,6 @@
 	if kind == NoopEntry {
 		return 0
 	}
-	r.pendingBytes += len(data)
 	r.lastProposalID++
 	r.pendingProposals[e.Index] = r.lastProposalID
 	return r.lastProposalID
@@ -268,7 +265,7 @@
 	}
 	heartbeat = heartbeat || p.probeNow
 	p.probeNow = false
-	for heartbeat || !p.probing && p.next <= r.lastIndex() && p.next <= p.match+maxInflight {
+	for heartbeat || !p.probing && p.next <= r.lastIndex() && r.hasWindow(p) {
 		if p.next <= r.base.Index {
 			r.startTransfer(to, p)
 			return
@@ -284,6 +281,19 @@
 	}
 }
 
+// hasWindow reports whether the entries that a member has not acknowledged leave room for
+// another batch.
+func (r *Replica) hasWindow(p *progress) bool {
+	if p.next > p.match+maxInflight {
+		return false
+	}
+	size := 0
+	for i := max(p.match, r.base.Index) + 1; i < p.next; i++ {
+		size += len(r.entry(i).Data)
+	}
+	return size < maxInflightBatches*r.opts.MaxBatch
+}
+
 // batch returns a copy of the next entries to send, starting with index from:
 // at most MaxBatch bytes, but at least one entry.
 func (r *Replica) batch(from Index) []Entry {
--- a/pkg/replica/message.go
+++ b/pkg/replica/message.go
@@ -191,7 +191,7 @@
 	}
 	if m.Kind == SnapshotChunk {
 		n := uint64(len(m.Data))
-		if m.Total > maxSnapshotBytes || n == 0 || n > m.Total || m.Offset > m.Total-n {
+		if m.Total > maxTotalBytes || n == 0 || n > m.Total || m.Offset > m.Total-n {
 			return invalid("Offset", "must lie within the snapshot; Data must not be empty, and Total must not exceed the limit")
 		}
 	}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -18,21 +18,35 @@
 	// DefaultSnapshotEvery and DefaultKeepEntries together bound the number of
 	// applied entries that a restart replays, unless a snapshot was being sent.
 	DefaultSnapshotEvery = 256
-	DefaultSnapshotBytes = 8 << 20
 	DefaultKeepEntries   = 64
 	DefaultMaxCommand    = 1 << 20
-	DefaultMaxPending    = 16 << 20
 	DefaultMaxBatch      = 256 << 10
 	DefaultChunkSize     = 256 << 10
+	// DefaultMemory is less than the memory of the smallest control VMs, 280 MB.
+	DefaultMemory = 256 << 20
+
+	// maxTotalBytes is the maximum size of the snapshot that a message may name. A
+	// replica installs only snapshots that fit into its memory.
+	maxTotalBytes = 1 << 30
+	// maxInflight and maxInflightBatches are the number of unacknowledged entries, and
+	// their size in multiples of MaxBatch, at which the leader stops sending further
+	// batches to a follower.
+	maxInflight        = 4096
+	maxInflightBatches = 16
+	// entryOverhead is the size in bytes of an entry beside its data, in memory.
+	entryOverhead = 64
+)
 
-	// maxSnapshotBytes is the maximum size of a received snapshot.
-	maxSnapshotBytes = 1 << 30
-	// maxSegmentBytes is the size at which a new segment replaces the current
-	// segment even if no snapshot is due.
-	maxSegmentBytes = 64 << 20
-	// maxInflight is the number of unacknowledged entries at which the leader
-	// stops sending further batches to a follower.
-	maxInflight = 4096
+// Parts of Options.Memory, as divisors. The log holds at most the retained entries, those
+// since the last snapshot and those not yet applied: an eighth of the memory. A start
+// holds it twice, as bytes of the file and as entries.
+const (
+	keepBytesPart     = 32
+	snapshotBytesPart = 32
+	maxPendingPart    = 16
+	// A received snapshot is held three times while it is installed.
+	maxSnapshotPart = 8
+	maxSegmentPart  = 4
 )
 
 var (
@@ -78,9 +92,11 @@
 		// have been applied since the last snapshot, whichever comes first.
 		SnapshotEvery int
 		SnapshotBytes int
-		// KeepEntries is the number of entries before a new snapshot that stay
-		// in the log, for followers that lag behind.
+		// KeepEntries and KeepBytes limit the number and the size in bytes of the
+		// entries before a new snapshot that stay in the log, for followers that lag
+		// behind.
 		KeepEntries int
+		KeepBytes   int
 		// AutoAdmit lets the leader add every replica that sends a Join message,
 		// first as a learner. If it is false, an operator adds replicas with
 		// ChangeMembership.
@@ -96,7 +112,7 @@
 		// suspended: after the machine resumes, an expired lease would look valid.
 		QuorumReads bool
 		// MaxCommand is the maximum size of one command, and MaxPending the
-		// maximum total size of the proposals that are not yet applied. MaxBatch
+		// maximum total size of the entries that are not yet applied. MaxBatch
 		// is the maximum total size of the entries in one message, except that a
 		// message may always hold one entry. ChunkSize is the maximum size of
 		// the part of a snapshot in one message. All are in bytes.
@@ -104,6 +120,10 @@
 		MaxPending int
 		MaxBatch   int
 		ChunkSize  int
+		// Memory is the memory of the VM in bytes. The defaults of SnapshotBytes,
+		// KeepBytes and MaxPending, and the limits of segments and of received
+		// snapshots are fixed parts of it.
+		Memory int
 	}
 
 	// Replica is one replica of the log. It is not safe for concurrent use.
@@ -127,6 +147,8 @@
 		commit, applied    Index
 		appliedStamp       int64
 		bytesSinceSnapshot int
+		// unappliedBytes is the total size of the entries after applied.
+		unappliedBytes int
 
 		// lastCall is the time passed to the last call. The package comment
 		// describes electionClock and leaseClock.
@@ -174,10 +196,12 @@
 	o.ElectionTimeout = cmp.Or(o.ElectionTimeout, DefaultElectionTimeout)
 	o.Heartbeat = cmp.Or(o.Heartbeat, DefaultHeartbeat)
 	o.SnapshotEvery = cmp.Or(o.SnapshotEvery, DefaultSnapshotEvery)
-	o.SnapshotBytes = cmp.Or(o.SnapshotBytes, DefaultSnapshotBytes)
+	o.Memory = cmp.Or(o.Memory, DefaultMemory)
+	o.SnapshotBytes = cmp.Or(o.SnapshotBytes, o.Memory/snapshotBytesPart)
 	o.KeepEntries = cmp.Or(o.KeepEntries, DefaultKeepEntries)
+	o.KeepBytes = cmp.Or(o.KeepBytes, o.Memory/keepBytesPart)
 	o.MaxCommand = cmp.Or(o.MaxCommand, DefaultMaxCommand)
-	o.MaxPending = cmp.Or(o.MaxPending, DefaultMaxPending)
+	o.MaxPending = cmp.Or(o.MaxPending, o.Memory/maxPendingPart)
 	o.MaxBatch = cmp.Or(o.MaxBatch, DefaultMaxBatch)
 	o.ChunkSize = cmp.Or(o.ChunkSize, DefaultChunkSize)
 }
@@ -213,6 +237,11 @@
 		}
 	}
 	r.stats.ReplayedEntries, r.stats.TornBytes = uint64(len(r.log)), uint64(state.tornBytes)
+	// A log of an earlier version may hold more than this version keeps.
+	if compactTo := r.compactionIndex(r.snap.At.Index); compactTo > r.base.Index {
+		r.compact(compactTo)
+	}
+	r.countUnapplied()
 	r.wal.number = number
 	if err := r.removeTempFiles(); err != nil {
 		return err
@@ -332,7 +361,7 @@
 		r.stop(err)
 		return
 	}
-	if r.wal.size < maxSegmentBytes {
+	if r.wal.size < int64(r.opts.Memory/maxSegmentPart) {
 		return
 	}
 	if err := r.wal.rewrite(r.self, r.base, r.hard, r.log); err != nil {
@@ -417,6 +446,7 @@
 
 func (r *Replica) appendEntry(e Entry) {
 	r.log = append(r.log, e)
+	r.unappliedBytes += len(e.Data)
 	r.wal.pending.Entries = append(r.wal.pending.Entries, e)
 	r.trackConfig(&e)
 }
@@ -428,12 +458,23 @@
 		r.stop(&InvariantError{Reason: fmt.Sprintf("committed entry %d conflicts with the log of the leader", index)})
 		return
 	}
+	for _, e := range r.log[index-r.base.Index-1:] {
+		r.unappliedBytes -= len(e.Data)
+	}
 	r.log = r.log[:index-r.base.Index-1]
 	for r.configs[len(r.configs)-1].index >= index {
 		r.configs = r.configs[:len(r.configs)-1]
 	}
 }
 
+// countUnapplied sets unappliedBytes after the log has been replaced.
+func (r *Replica) countUnapplied() {
+	r.unappliedBytes = 0
+	for i := r.applied + 1; i <= r.lastIndex(); i++ {
+		r.unappliedBytes += len(r.entry(i).Data)
+	}
+}
+
 // apply applies the committed entries and takes a snapshot when one is due.
 func (r *Replica) apply() {
 	for r.stopErr == nil && r.applied < r.commit {
@@ -444,9 +485,9 @@
 		}
 		r.applied, r.appliedStamp = e.Index, e.Stamp
 		r.bytesSinceSnapshot += len(e.Data)
+		r.unappliedBytes -= len(e.Data)
 		if id, ok := r.pendingProposals[e.Index]; ok {
 			delete(r.pendingProposals, e.Index)
-			r.pendingBytes -= len(e.Data)
 			r.output.Results = append(r.output.Results, Result{ID: id, Index: e.Index, Value: value})
 		}
 	}
--- a/pkg/replica/snapshot.go
+++ b/pkg/replica/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -52,7 +53,8 @@
 // name only once it is durable, so a crash leaves no partly written file with
 // that name.
 func decodeSnapshot(name string, data []byte) (*snapshot, error) {
-	s := &snapshot{}
+	// The state is a little smaller than the file.
+	s := &snapshot{state: make([]byte, 0, len(data))}
 	off := 0
 	corrupt := func(reason string) error {
 		return &CorruptError{File: name, Offset: int64(off), Reason: reason}
@@ -83,7 +85,10 @@
 
 // storeSnapshot makes an encoded snapshot durable and removes older snapshots.
 func storeSnapshot(fs FS, at Index, data []byte) error {
-	f, err := replaceFile(fs, fileName(snapshotPrefix, uint64(at)), data)
+	f, err := replaceFile(fs, fileName(snapshotPrefix, uint64(at)), func(w io.Writer) error {
+		_, err := w.Write(data)
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -177,7 +182,7 @@
 // snapshot at index at. The last KeepEntries entries up to at are kept. While an
 // earlier snapshot is being sent, the entries after that earlier snapshot are
 // also kept, since the receiver would otherwise need another snapshot at once.
-// Of the entries up to at, never more than 64*KeepEntries are kept.
+// Of the entries up to at, never more than 64*KeepEntries and KeepBytes are kept.
 func (r *Replica) compactionIndex(at Index) Index {
 	keep := Index(r.opts.KeepEntries)
 	upTo := at - min(at, keep)
@@ -186,7 +191,14 @@
 			upTo = min(upTo, p.transfer.at.Index)
 		}
 	}
-	return max(upTo, at-min(at, 64*keep))
+	upTo = max(upTo, at-min(at, 64*keep))
+	size := 0
+	for i := at; i > max(upTo, r.base.Index); i-- {
+		if size += len(r.entry(i).Data) + entryOverhead; size > r.opts.KeepBytes {
+			return i
+		}
+	}
+	return upTo
 }
 
 // compact removes the entries up to and including index.
@@ -219,6 +231,7 @@
 	}
 	r.commit, r.applied, r.appliedStamp = s.At.Index, s.At.Index, s.Stamp
 	r.bytesSinceSnapshot = 0
+	r.countUnapplied()
 	r.stats.SnapshotsInstalled++
 	r.rebuildConfigs()
 	return nil
--- a/pkg/replica/stats.go
+++ b/pkg/replica/stats.go
@@ -22,8 +22,13 @@
 	SyncedVoters  int
 	SegmentBytes  int64
 	SnapshotBytes uint64
-	PendingBytes  int
-	HoldsLease    bool
+	// LogBytes is the size of the entries in memory, and PendingBytes the size of
+	// those that are not yet applied. Transfers is the number of snapshots that are
+	// being sent.
+	LogBytes     int
+	PendingBytes int
+	Transfers    int
+	HoldsLease   bool
 
 	// Counters, except for TornBytes and ReplayedEntries, which are set once,
 	// when the replica is opened.
@@ -64,7 +69,15 @@
 	s.Voters = len(r.config().voters())
 	s.Learners = len(r.config().Members) - s.Voters
 	s.SyncedVoters = r.syncedVoters()
-	s.SegmentBytes, s.PendingBytes = r.wal.size, r.pendingBytes
+	s.SegmentBytes, s.PendingBytes = r.wal.size, r.unappliedBytes
+	for i := range r.log {
+		s.LogBytes += len(r.log[i].Data)
+	}
+	for _, p := range r.progress {
+		if p.transfer != nil {
+			s.Transfers++
+		}
+	}
 	s.HoldsLease = r.role == roleLeader && r.leaseValid()
 	return s
 }
--- a/pkg/replica/wal.go
+++ b/pkg/replica/wal.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"slices"
 	"strconv"
 	"strings"
@@ -31,6 +32,9 @@
 	// maxFramePayload is the maximum payload size that readFrame accepts, in
 	// bytes.
 	maxFramePayload = 256 << 20
+	// rewriteBatchBytes is the maximum total size of the entries in one frame of a
+	// rewritten segment, except that a frame may always hold one entry.
+	rewriteBatchBytes = 256 << 10
 )
 
 var (
@@ -59,15 +63,19 @@
 		Vote Identity `cbor:"2,keyasint"`
 	}
 
-	// walRecord is the payload of one frame and holds everything that one sync
-	// makes durable. Only the first record of a segment has Self and Base. An
-	// entry replaces all entries of earlier records with the same or a higher
-	// index.
+	// walRecord is the payload of one frame. Each sync makes one record durable, with
+	// the exception of the records that a rewrite writes. Only the first record of a
+	// segment has Self and Base. An entry replaces all entries of earlier records with
+	// the same or a higher index.
 	walRecord struct {
 		Self    *Identity  `cbor:"1,keyasint,omitempty"`
 		Base    *Position  `cbor:"2,keyasint,omitempty"`
 		Hard    *hardState `cbor:"3,keyasint,omitempty"`
 		Entries []Entry    `cbor:"4,keyasint,omitempty"`
+		// Retained is the number of records after the first one that hold the retained
+		// entries. They became durable together with the first. Earlier versions wrote
+		// the retained entries into the first record.
+		Retained uint64 `cbor:"5,keyasint,omitempty"`
 	}
 
 	// walState is the decoded content of a segment.
@@ -76,13 +84,15 @@
 		base Position
 		hard hardState
 		log  []Entry
+		// retained is the sequence number of the last frame of the retained entries.
+		retained uint64
 		// tornBytes is the size of the torn tail.
 		tornBytes int
 	}
 
-	// wal appends to the newest segment. Each segment is self-contained: the
-	// first frame holds the identity, hard state, base and retained entries, and
-	// the segment gets its final name only once this frame is durable. Older
+	// wal appends to the newest segment. Each segment is self-contained: its first
+	// frames hold the identity, hard state, base and retained entries, and
+	// the segment gets its final name only once these frames are durable. Older
 	// segments are therefore obsolete and never read.
 	wal struct {
 		fs      FS
@@ -190,7 +200,7 @@
 			return &CorruptError{File: name, Offset: int64(off), Reason: reason}
 		}
 		switch {
-		case size == 0 && (off == 0 || wasSynced(data[off:], seq)):
+		case size == 0 && (seq <= s.retained && !isSyncMarker(seq) || off == 0 || wasSynced(data[off:], seq)):
 			return nil, corrupt("synced frame is incomplete or has a wrong checksum")
 		case size == 0 && isSyncMarker(seq) && hasLaterFrame(data[off:], seq):
 			off += frameHeaderSize
@@ -224,6 +234,8 @@
 	}
 	if first {
 		s.self, s.base = *rec.Self, *rec.Base
+		s.retained = 1 + 2*rec.Retained
+		s.log = make([]Entry, 0, len(rec.Entries))
 	}
 	if rec.Hard != nil {
 		s.hard = *rec.Hard
@@ -245,49 +257,101 @@
 // frame, the sync marker, without another sync. The marker lets a restart
 // distinguish damage to the last synced frame from a torn tail.
 func (w *wal) sync() error {
-	payload, err := cbor.Marshal(&w.pending)
-	if err != nil {
-		return &DecodeError{Type: "WAL record", Err: err}
-	}
-	frame := appendFrame(nil, w.seq+1, payload)
-	if _, err := w.file.Write(frame); err != nil {
+	if err := w.writeRecord(w.file, &w.pending); err != nil {
 		return &DiskError{Op: "write", File: w.name, Err: err}
 	}
 	if err := w.file.Sync(); err != nil {
 		return &DiskError{Op: "sync", File: w.name, Err: err}
 	}
-	marker := appendFrame(nil, w.seq+2, nil)
-	if _, err := w.file.Write(marker); err != nil {
+	if err := w.writeFrame(w.file, nil); err != nil {
 		return &DiskError{Op: "write", File: w.name, Err: err}
 	}
 	w.stats.Syncs++
 	w.stats.SyncedEntries += uint64(len(w.pending.Entries))
 	w.pending = walRecord{}
-	w.seq += 2
-	w.size += int64(len(frame) + len(marker))
 	return nil
 }
 
+func encodeRecord(rec *walRecord) ([]byte, error) {
+	payload, err := cbor.Marshal(rec)
+	if err != nil {
+		return nil, &DecodeError{Type: "WAL record", Err: err}
+	}
+	return payload, nil
+}
+
 // rewrite starts a new segment with the given content, discards the pending
 // record, and removes the old segments.
 func (w *wal) rewrite(self Identity, base Position, hard hardState, log []Entry) error {
-	payload, err := cbor.Marshal(&walRecord{Self: &self, Base: &base, Hard: &hard, Entries: log})
+	batches := splitEntries(log, rewriteBatchBytes)
+	next := *w
+	next.number, next.seq, next.size, next.pending = w.number+1, 0, 0, walRecord{}
+	next.name = fileName(walPrefix, next.number)
+	file, err := replaceFile(w.fs, next.name, func(f io.Writer) error {
+		if err := next.writeRecord(f, &walRecord{Self: &self, Base: &base, Hard: &hard, Retained: uint64(len(batches))}); err != nil {
+			return err
+		}
+		for _, batch := range batches {
+			if err := next.writeRecord(f, &walRecord{Entries: batch}); err != nil {
+				return err
+			}
+			if err := next.writeFrame(f, nil); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
 	if err != nil {
-		return &DecodeError{Type: "WAL record", Err: err}
+		return err
+	}
+	w.close()
+	next.file = file
+	*w = next
+	w.stats.SegmentsWritten++
+	return removeOlderFiles(w.fs, walPrefix, w.number)
+}
+
+// splitEntries splits a log into batches of at most limit bytes of data, or of one entry.
+func splitEntries(log []Entry, limit int) [][]Entry {
+	var batches [][]Entry
+	start, size := 0, 0
+	for i := range log {
+		if size += len(log[i].Data) + entryOverhead; size > limit && i > start {
+			batches = append(batches, log[start:i])
+			start, size = i, len(log[i].Data)+entryOverhead
+		}
+	}
+	if start < len(log) {
+		batches = append(batches, log[start:])
 	}
-	name := fileName(walPrefix, w.number+1)
-	frame := appendFrame(nil, 1, payload)
-	file, err := replaceFile(w.fs, name, frame)
+	return batches
+}
+
+func (w *wal) writeRecord(f io.Writer, rec *walRecord) error {
+	payload, err := encodeRecord(rec)
 	if err != nil {
 		return err
 	}
+	return w.writeFrame(f, payload)
+}
+
+// writeFrame writes the next frame, without a sync.
+func (w *wal) writeFrame(f io.Writer, payload []byte) error {
+	frame := appendFrame(make([]byte, 0, frameHeaderSize+len(payload)), w.seq+1, payload)
+	if _, err := f.Write(frame); err != nil {
+		return err
+	}
+	w.seq++
+	w.size += int64(len(frame))
+	return nil
+}
+
+// close closes the current segment.
+func (w *wal) close() {
 	if w.file != nil {
 		w.file.Close()
+		w.file = nil
 	}
-	w.file, w.name, w.number, w.seq, w.size = file, name, w.number+1, 1, int64(len(frame))
-	w.pending = walRecord{}
-	w.stats.SegmentsWritten++
-	return removeOlderFiles(w.fs, walPrefix, w.number)
 }
 
 func fileName(prefix string, n uint64) string { return fmt.Sprintf("%s%016x", prefix, n) }
