replica: a leader keeps nothing for a member that does not answer

A leader from before the cut has the member's position and begins none, which is why the record shows growth only after an election. It also sent each new entry to the silent member, into the queue of the transport.

Change: a member that has not answered for ElectionTimeout is suspended: its transfer ends, and it gets heartbeats without entries, which ask where its log ends, from the base of the log on if its next entry is gone. Its first answer starts entries or a new transfer.

--- a/pkg/replica/doc.go
+++ b/pkg/replica/doc.go
@@ -59,7 +59,8 @@
 //
 // Memory: Options.Memory bounds the log. The entries since the last snapshot, those
 // kept for followers that lag behind and those that can't be committed yet have limits
-// in bytes.
+// in bytes. A member that has not answered for ElectionTimeout gets heartbeats only,
+// and neither entries nor a snapshot are kept for it.
 //
 // Files: one directory holds "wal-N" and "snapshot-N". Each segment and
 // snapshot is written to a temporary file, synced and renamed, and then the
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -257,6 +257,9 @@
 }
 
 func (r *Replica) replicate(to fleet.VMID, p *progress, heartbeat bool) {
+	if !r.recentlyActive(Identity{VM: to, Incarnation: p.incarnation}) {
+		r.suspend(p)
+	}
 	if p.transfer != nil {
 		if heartbeat && r.electionClock-p.transfer.lastSent >= 2*r.opts.Heartbeat {
 			r.sendChunk(to, p)
@@ -281,6 +284,15 @@
 	}
 }
 
+// suspend ends the sending of entries or of a snapshot to a member that does not answer:
+// they would only accumulate. Heartbeats without entries then ask the member where its
+// log ends, from the start of the log on if that is later than the next entry to send.
+func (r *Replica) suspend(p *progress) {
+	p.transfer = nil
+	p.probing = true
+	p.next = max(p.next, r.base.Index+1)
+}
+
 // hasWindow reports whether the entries that a member has not acknowledged leave room for
 // another batch.
 func (r *Replica) hasWindow(p *progress) bool {
--- a/pkg/replica/memory_test.go
+++ b/pkg/replica/memory_test.go
@@ -116,6 +116,37 @@
 	}
 }
 
+// Guards against a leader that keeps its whole log for a member that was cut off before
+// the election, and sends it what it can't receive.
+func TestAbsentMember(t *testing.T) {
+	const size, limit = 97 << 10, testMemory / 8
+	c := newCluster(t)
+	absent := c.leader().self.VM
+	c.cut[absent] = true
+	c.propose(10, size)
+	c.run(5 * time.Second)
+	sent := c.sent[absent]
+	c.propose(500, size)
+	c.checkLogs(limit)
+	if got := c.sent[absent] - sent; got > 0 {
+		t.Errorf("commands sent to the member that is cut off: got %d bytes, want 0", got)
+	}
+	for vm, r := range c.replicas {
+		if c.cut[vm] {
+			continue
+		}
+		r.stop(errInjected)
+		c.start(vm)
+	}
+	c.checkLogs(limit)
+	c.cut[absent] = false
+	c.propose(10, size)
+	c.run(2 * time.Second)
+	if got, want := c.replicas[absent].Stats().Applied, c.leader().Stats().Applied; got != want {
+		t.Errorf("applied entries of the member after its return: got %d, want %d", got, want)
+	}
+}
+
 // Guards against a log that is bounded by the number of its entries only, whatever
 // their sizes are.
 func TestLogOfLargeCommands(t *testing.T) {
