--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -95,7 +95,7 @@
 		return err
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	transport.Deliver = func(from fleet.VMID, m replica.Message) { d.loop.deliver(ctx, from, m) }
+	transport.Deliver = func(from fleet.VMID, m replica.Message) bool { return d.loop.Deliver(ctx, from, m) }
 	socket := &peer.Socket{Self: d.Settings.ID, Conn: d.Sockets.ControlConn, Clock: d.ring.Clock}
 	d.loop.sendHint = func(e spread.Envelope, now time.Time) { d.sendHint(socket, e, now) }
 	pulls := &peer.PullServer{Self: d.Settings.ID, Listener: d.Sockets.PullListener, Answer: d.loop.answer}
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -77,13 +77,6 @@
 	l.recorder.Record(timeline.Event{Kind: timeline.KindElection, Name: role, VM: leader}, now)
 }
 
-// deliver passes a message from another replica to the loop.
-func (l *loop) deliver(ctx context.Context, from fleet.VMID, m replica.Message) {
-	// A message that arrives after the loop has stopped is dropped, which the
-	// sender handles like a loss on the network.
-	_ = l.Submit(ctx, func(now time.Time) { l.Replica.Step(from, m, now) })
-}
-
 // Write proposes a write and waits for the result of the write.
 func (l *loop) Write(ctx context.Context, w *settings.Write) (*settings.Result, error) {
 	value, err := l.Propose(ctx, w.Encode())
--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -239,10 +240,11 @@
 	defer stopReplica()
 	replicaStopped := make(chan struct{})
 	d.transport = &replication.Transport{
-		Self:     self,
-		Listener: replicationListener,
-		Address:  func(id fleet.VMID) string { return AddressOf(id, d.Settings.Replication) },
-		Deliver:  func(from fleet.VMID, m replica.Message) { d.deliver(ctx, from, m) },
+		Self:       self,
+		Listener:   replicationListener,
+		Address:    func(id fleet.VMID) string { return AddressOf(id, d.Settings.Replication) },
+		Deliver:    func(from fleet.VMID, m replica.Message) bool { return d.deliver(ctx, from, m) },
+		QueueBytes: d.memory() / replication.QueuePart,
 	}
 	publisher := &feed.Publisher{Store: d.store, Listener: feedListener}
 	d.Log.Info("hub started", zap.String("Zone", string(d.Settings.Zone)), zap.Bool("First", d.Settings.First))
@@ -303,7 +305,7 @@
 	if err != nil {
 		return err
 	}
-	l.Replica, l.Send = r, d.transport.Send
+	l.Replica, l.Send, l.QueueBytes = r, d.transport.Send, d.memory()/replication.QueuePart
 	l.lastAtOpen = r.Stats().LastIndex
 	l.AfterStep = func(time.Time) {
 		d.observe(r)
@@ -330,6 +332,7 @@
 		AutoAdmit:    true,
 		RemoveAfter:  removeAfter,
 		QuorumReads:  true,
+		Memory:       d.memory(),
 	}
 	var members []replica.Member
 	for _, seed := range d.currentSeeds() {
@@ -374,16 +377,16 @@
 	d.store.SetCatalog(c)
 }
 
-func (d *Daemon) deliver(ctx context.Context, from fleet.VMID, m replica.Message) {
+// deliver passes a message from another hub to the replica. While the replica is down,
+// the message is lost, as on the network.
+func (d *Daemon) deliver(ctx context.Context, from fleet.VMID, m replica.Message) bool {
 	l := d.loop.Load()
-	if l == nil {
-		return
-	}
-	// If the replica has stopped, the message is dropped, which has the same
-	// effect as its loss on the network.
-	_ = l.Submit(ctx, func(now time.Time) { l.Replica.Step(from, m, now) })
+	return l != nil && l.Deliver(ctx, from, m)
 }
 
+// memory returns the memory of the VM in bytes.
+func (d *Daemon) memory() int { return cmp.Or(d.Settings.Memory, replica.DefaultMemory) }
+
 // runTicks calls tick at an interval until ctx ends.
 func (d *Daemon) runTicks(ctx context.Context, interval time.Duration, call func(now time.Time)) error {
 	tick := time.NewTicker(interval)
--- a/internal/hub/settings.go
+++ b/internal/hub/settings.go
@@ -27,6 +27,9 @@
 	Feed, Replication uint16
 	// Data is the directory of the log and of the cache file.
 	Data string
+	// Memory is the memory of the VM in bytes, 0 if it is not known. The limits of the
+	// log, of queues and of requests in progress follow from it.
+	Memory int
 	// First is set only at the first start of the whole fleet: the seeds are then
 	// the initial members of the log.
 	First bool
--- a/internal/replication/loop.go
+++ b/internal/replication/loop.go
@@ -1,9 +1,13 @@
 package replication
 
 import (
+	"cmp"
 	"context"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
+	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/replica"
 )
 
@@ -15,6 +19,9 @@
 	maxCallsPerSync = 256
 	// RequestTimeout is the maximum time that Do, Propose and Read wait.
 	RequestTimeout = 2 * time.Second
+	// deliverTimeout is the maximum time that Deliver waits. While a disk stalls, the
+	// calls of other replicas would otherwise accumulate.
+	deliverTimeout = time.Second
 )
 
 type (
@@ -29,8 +36,12 @@
 		// batch of submitted functions, once the resulting replica.Output has
 		// been processed.
 		AfterStep func(now time.Time)
+		// QueueBytes is the maximum size in bytes of the commands and snapshots in the
+		// messages that wait for the loop, DefaultQueueBytes if it is 0.
+		QueueBytes int
 
 		calls         chan func(now time.Time)
+		queued        *semaphore.Weighted
 		stopped       chan struct{}
 		pendingWrites map[replica.ProposalID]*pendingCall
 		pendingReads  map[replica.ReadID]*pendingCall
@@ -59,7 +70,9 @@
 
 // Init initializes the loop. It must be called before any other method.
 func (l *Loop) Init() {
+	l.QueueBytes = cmp.Or(l.QueueBytes, DefaultQueueBytes)
 	l.calls = make(chan func(time.Time), maxCallsPerSync)
+	l.queued = semaphore.NewWeighted(int64(l.QueueBytes))
 	l.stopped = make(chan struct{})
 	l.pendingWrites = make(map[replica.ProposalID]*pendingCall)
 	l.pendingReads = make(map[replica.ReadID]*pendingCall)
@@ -169,6 +182,26 @@
 	}
 }
 
+// Deliver queues a message from another replica. It waits while the queue is full, at
+// most for a second, and reports whether the message was queued. A message that was not
+// is lost, as on the network.
+func (l *Loop) Deliver(ctx context.Context, from fleet.VMID, m replica.Message) bool {
+	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
+	defer cancel()
+	size := int64(min(m.Size(), l.QueueBytes))
+	if l.queued.Acquire(ctx, size) != nil {
+		return false
+	}
+	err := l.Submit(ctx, func(now time.Time) {
+		l.queued.Release(size)
+		l.Replica.Step(from, m, now)
+	})
+	if err != nil {
+		l.queued.Release(size)
+	}
+	return err == nil
+}
+
 // Do runs f in the loop's goroutine and waits for f to return, for at most
 // RequestTimeout. After a timeout, an error of ctx or a StoppedError, f may
 // still run or may have run.
--- a/internal/replication/transport.go
+++ b/internal/replication/transport.go
@@ -1,6 +1,7 @@
 package replication
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -26,11 +27,16 @@
 	// queueLength is the maximum number of messages queued for one peer. Further messages are
 	// dropped, which is safe because Raft sends them again.
 	queueLength = 256
+	// DefaultQueueBytes is the default of Transport.QueueBytes and Loop.QueueBytes.
+	DefaultQueueBytes = replica.DefaultMemory / QueuePart
+	// QueuePart is the part of the memory of a VM, as a divisor, that each of the two
+	// queues may take.
+	QueuePart = 32
 	// maxCallBytes is the maximum size of one call. Valid calls stay far below it:
 	// a batch ends with the message that reaches maxBatchBytes, and no message
 	// is larger than a few MiB.
-	maxCallBytes  = 64 << 20
-	maxBatchBytes = 4 << 20
+	maxCallBytes  = 16 << 20
+	maxBatchBytes = 1 << 20
 	// maxConns is the maximum number of accepted connections that are open. Each peer needs one connection.
 	maxConns = 64
 
@@ -52,19 +58,25 @@
 		Listener net.Listener
 		// Address returns the TCP address of a peer, or "" if it is unknown.
 		Address func(fleet.VMID) string
-		// Deliver is called for each valid message. It may block to apply
-		// backpressure, but must return once the context of Run is done.
-		Deliver func(from fleet.VMID, m replica.Message)
+		// Deliver is called for each valid message. It may block for a short time to
+		// apply backpressure, but must return once the context of Run is done. If it
+		// returns false, the message and those after it in the same call are lost.
+		Deliver func(from fleet.VMID, m replica.Message) bool
 		// Keys is nil for connections without TLS.
 		Keys *KeyStore
+		// QueueBytes is the maximum size in bytes of the commands and snapshots in the
+		// messages queued for all peers, DefaultQueueBytes if it is 0. Further messages
+		// with commands or snapshots are dropped.
+		QueueBytes int
 
-		counters counters
-		mu       sync.Mutex
-		ctx      context.Context
-		closed   bool
-		peers    map[fleet.VMID]chan replica.Message
-		conns    map[net.Conn]bool
-		wg       sync.WaitGroup
+		counters    counters
+		queuedBytes atomic.Int64
+		mu          sync.Mutex
+		ctx         context.Context
+		closed      bool
+		peers       map[fleet.VMID]chan replica.Message
+		conns       map[net.Conn]bool
+		wg          sync.WaitGroup
 	}
 
 	// TransportStats holds the counters of a Transport. Dropped counts outgoing
@@ -261,7 +273,9 @@
 			continue
 		}
 		s.t.counters.received.Add(1)
-		s.t.Deliver(b.From, m)
+		if !s.t.Deliver(b.From, m) {
+			return nil
+		}
 	}
 	return nil
 }
@@ -280,9 +294,16 @@
 // Send queues a message for its receiver and never blocks. It drops the message
 // if the queue is full or Run is not running.
 func (t *Transport) Send(e replica.Envelope) {
+	size := int64(e.Message.Size())
+	if size > 0 && t.queuedBytes.Add(size) > int64(cmp.Or(t.QueueBytes, DefaultQueueBytes)) {
+		t.queuedBytes.Add(-size)
+		t.counters.dropped.Add(1)
+		return
+	}
 	select {
 	case t.queue(e.To) <- e.Message:
 	default:
+		t.queuedBytes.Add(-size)
 		t.counters.dropped.Add(1)
 	}
 }
@@ -333,6 +354,7 @@
 	b := &Batch{From: s.t.Self}
 	for size := 0; ; {
 		data, err := replica.EncodeMessage(&m)
+		s.t.queuedBytes.Add(-int64(m.Size()))
 		if err != nil {
 			s.t.counters.dropped.Add(1)
 		} else {
--- a/internal/replication/transport_test.go
+++ b/internal/replication/transport_test.go
@@ -83,7 +83,7 @@
 	tr := &testTransport{received: make(chan fleet.VMID, 100)}
 	tr.Transport = &Transport{Self: self, Listener: listener, Keys: keys,
 		Address: func(vm fleet.VMID) string { address, _ := addresses.Load(vm); return address.(string) },
-		Deliver: func(from fleet.VMID, m replica.Message) { tr.received <- from }}
+		Deliver: func(from fleet.VMID, m replica.Message) bool { tr.received <- from; return true }}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- tr.Run(ctx) }()
--- a/pkg/replica/message.go
+++ b/pkg/replica/message.go
@@ -170,6 +170,16 @@
 	return m, nil
 }
 
+// Size returns the size in bytes of the commands and of the part of a snapshot that the
+// message holds.
+func (m *Message) Size() int {
+	size := len(m.Data)
+	for i := range m.Entries {
+		size += len(m.Entries[i].Data)
+	}
+	return size
+}
+
 // Validate returns a fleet.FieldError for the first invalid field.
 func (m *Message) Validate() error {
 	invalid := func(field, reason string) error {
