hub: limits in bytes for the bodies of calls, from the memory of the VM

A document above the limit of the log (1 MiB) was answered with 503 for ever.

Change: hub.Bodies reads bodies within a 32nd of the memory and refuses others at once with 503 and Retry-After; documents above the limit get 413; a call ends after 15 s (30 s at control VMs of the own interface).

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -31,6 +31,12 @@
 	initialIncarnation = 1
 	dirMode            = 0o700
 	shutdownTimeout    = time.Second
+	readHeaderTimeout  = 5 * time.Second
+	// callTimeout bounds the times to read a call and to write its response, so that
+	// slow callers hold no memory for long.
+	callTimeout     = 30 * time.Second
+	idleConnTimeout = time.Minute
+	maxHeaderBytes  = 16 << 10
 )
 
 type (
@@ -159,6 +165,8 @@
 		Self:     d.Settings.ID,
 		Listener: d.Sockets.Replication,
 		Address:  d.replicationAddress,
+		// Zero stands for the default in both.
+		QueueBytes: d.Settings.Memory / replication.QueuePart,
 	}
 	if d.Settings.Keys != nil {
 		if transport.Keys, err = replication.LoadKeys(*d.Settings.Keys); err != nil {
@@ -167,7 +175,7 @@
 	}
 	d.hintAddresses = &subscribers{addresses: make(map[fleet.VMID]netip.AddrPort)}
 	d.loop = &loop{
-		Loop:       replication.Loop{Replica: r, Send: transport.Send},
+		Loop:       replication.Loop{Replica: r, Send: transport.Send, QueueBytes: transport.QueueBytes},
 		self:       d.Settings.ID,
 		machine:    m,
 		spreadNode: &spread.Node{Self: d.Settings.ID, Store: settingsStore{m}, Replica: true},
@@ -189,6 +197,7 @@
 		FS:           fs,
 		StateMachine: stateMachine{m},
 		Rand:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Memory:       d.Settings.Memory,
 	}
 	var members []replica.Member
 	for _, r := range d.Settings.Replicas {
@@ -256,7 +265,10 @@
 	mux.Handle("/", api.Handler())
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	mux.Handle("GET "+timeline.Path, &timeline.Handler{Ring: d.ring})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
+	server := &http.Server{
+		Handler: mux, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: callTimeout, WriteTimeout: callTimeout,
+		IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	stopped := make(chan struct{})
 	context.AfterFunc(ctx, func() {
 		defer close(stopped)
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -10,9 +10,13 @@
 	"bamboowalk.org/bamboowalk/internal/replication"
 	"bamboowalk.org/bamboowalk/internal/settingsfile"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/replica"
 	"bamboowalk.org/bamboowalk/pkg/settings"
 )
 
+// maxMemoryMiB bounds the setting Memory.
+const maxMemoryMiB = 1 << 20
+
 type (
 	// Settings are the validated settings of a control VM.
 	Settings struct {
@@ -28,7 +32,10 @@
 		RootKeyHash string
 		// Keys is nil if the connections between replicas do not use TLS.
 		Keys *replication.KeyFiles
-		Log  settingsfile.Log
+		// Memory is the memory of the VM in bytes, 0 if it is not known. The limits of
+		// the log and of queues follow from it.
+		Memory int
+		Log    settingsfile.Log
 	}
 
 	// ReplicaAddress holds the addresses of a replica.
@@ -46,6 +53,7 @@
 		RootKeyFile string                `toml:"RootKeyFile"`
 		LogFormat   string                `toml:"LogFormat"`
 		LogLevel    string                `toml:"LogLevel"`
+		Memory      *int                  `toml:"Memory"`
 		Keys        *replication.KeyFiles `toml:"Keys"`
 		Replicas    []rawReplica          `toml:"Replicas"`
 	}
@@ -76,6 +84,7 @@
 	if !filepath.IsAbs(s.Data) {
 		s.Data = filepath.Join(filepath.Dir(path), s.Data)
 	}
+	s.Memory = c.Count("Memory", raw.Memory, replica.DefaultMemory>>20, maxMemoryMiB) << 20
 	s.loadRootKey(c, path, raw.RootKeyFile)
 	s.addReplicas(c, raw.Replicas)
 	return s, c.Err()
--- a/internal/hub/calls.go
+++ b/internal/hub/calls.go
@@ -57,8 +57,8 @@
 
 // Put commits a document. The document has no effect if a document with the
 // same or a higher number is in force. Put returns a NotLeaderError, an
-// UnavailableError if the replica is down or the outcome is unknown, or the
-// error of Document.Encode.
+// UnavailableError if the replica is down or the outcome is unknown, a
+// replica.TooLargeError, or the error of Document.Encode.
 func (d *Daemon) Put(ctx context.Context, doc catalog.Document) error {
 	l := d.loop.Load()
 	if l == nil {
@@ -88,11 +88,15 @@
 }
 
 // convertError converts an error of the replica to a NotLeaderError or an
-// UnavailableError.
+// UnavailableError, except for a replica.TooLargeError, which it returns.
 func convertError(err error) error {
 	if err == nil {
 		return nil
 	}
+	var tooLarge *replica.TooLargeError
+	if errors.As(err, &tooLarge) {
+		return tooLarge
+	}
 	var notLeader *replica.NotLeaderError
 	if errors.As(err, &notLeader) {
 		return &NotLeaderError{Leader: notLeader.Leader}
--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -72,6 +72,10 @@
 	// It is some announcement intervals, so that the connections of targets stay open.
 	idleConnTimeout = 15 * time.Second
 	maxHeaderBytes  = 16 << 10
+	// callTimeout bounds the times to read a call and to write its response, so that a
+	// slow caller does not hold the memory of a document. A document of 1 MiB takes 6 s
+	// on a link of 1.4 Mbit/s.
+	callTimeout = 15 * time.Second
 )
 
 type (
@@ -406,6 +410,7 @@
 func (d *Daemon) serve(stopping, ctx context.Context, l net.Listener) error {
 	server := &http.Server{
 		Handler: d.closeWhileDraining(d.withZones(d.Handler)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ReadTimeout: callTimeout, WriteTimeout: callTimeout,
 	}
 	stopped := make(chan struct{})
 	go func() {
--- a/internal/hub/zonesapi.go
+++ b/internal/hub/zonesapi.go
@@ -12,6 +12,7 @@
 
 	"bamboowalk.org/bamboowalk/pkg/catalog"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/replica"
 )
 
 const (
@@ -99,16 +100,20 @@
 }
 
 // Status returns the HTTP status for an error of a call, and the address of the
-// leader if the status is 307. The status is 503 if the call may succeed later, 404
-// for a ZoneOrdersOffError, and 400 for any other error.
+// leader if the status is 307. The status is 503 if the call may succeed later, 413 for
+// a replica.TooLargeError, 404 for a ZoneOrdersOffError, and 400 for any other error.
 func Status(err error) (status int, leader fleet.VMID) {
 	var notLeader *NotLeaderError
 	var unavailable *UnavailableError
 	var off ZoneOrdersOffError
+	var busy BusyError
+	var tooLarge *replica.TooLargeError
 	switch {
 	case errors.As(err, &notLeader) && notLeader.Leader != "":
 		return http.StatusTemporaryRedirect, notLeader.Leader
-	case errors.As(err, &notLeader), errors.As(err, &unavailable):
+	case errors.As(err, &tooLarge):
+		return http.StatusRequestEntityTooLarge, ""
+	case errors.As(err, &notLeader), errors.As(err, &unavailable), errors.As(err, &busy):
 		return http.StatusServiceUnavailable, ""
 	case errors.As(err, &off):
 		return http.StatusNotFound, ""
