registry: a late leave does not end the process that runs now

Its open flows were reset, requests that may not run twice stayed without an answer, and it got no new flow until its next restart, although its announcements were answered with 200.

Cause: Registry.Leave marked whatever process was known under the id as gone, and Record.NewerThan then ignored all its announcements.

Change: a Leave states the start of the process, if the call does. One of an earlier process has no effect. One that does not tell the process ends the target once it is silent, unless it was heard after the call, by any hub. A draining target that has been silent for GoneRetention counts as gone as well; its record stayed for ever before if the leave was lost.

Ways not taken: to ignore such a leave for targets that are not draining, since the process that runs now may be draining too.

Evidence: TestLeave fails on the former code in all cases of earlier processes.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -145,7 +145,7 @@
 	if u.Catalog.Full || len(u.Catalog.Routes) != 1 || u.Catalog.From != 1 {
 		t.Errorf("update with a new catalog: got %+v, want a delta of one route", u.Catalog)
 	}
-	store.Leave(1, now)
+	store.Leave(registry.Leave{Target: 1, Born: 1}, now)
 	u = s.waitUpdate("target that left", func(u *Update) bool { return len(u.Records) > 0 })
 	if !u.Records[0].Gone() {
 		t.Errorf("update with a target that left: got %+v, want state Gone", u.Records)
--- a/internal/feed/load_test.go
+++ b/internal/feed/load_test.go
@@ -77,7 +77,7 @@
 	}
 	for i := range 5 {
 		now = now.Add(updateInterval)
-		s.Leave(fleet.Incarnation(i+1), now)
+		s.Leave(registry.Leave{Target: fleet.Incarnation(i + 1), Born: 1}, now)
 		frames := nextFrames(t, s, list, now)
 		if len(frames) != 1 {
 			t.Errorf("change of a target: encoded %d times for %d entry VMs, want once", len(frames), entryVMs)
@@ -106,11 +106,11 @@
 	list := cursors(Entry, 2)
 	nextFrames(t, s, list, now)
 	now = now.Add(time.Second)
-	s.Leave(1, now)
+	s.Leave(registry.Leave{Target: 1, Born: 1}, now)
 	if frames := nextFrames(t, s, list[:1], now); len(frames) != 1 {
 		t.Fatalf("first change: got %d updates, want 1 at once", len(frames))
 	}
-	s.Leave(2, now)
+	s.Leave(registry.Leave{Target: 2, Born: 1}, now)
 	frame, wait, err := s.next(list[0], now)
 	if frame != nil || wait <= 0 || wait > updateInterval || err != nil {
 		t.Errorf("second change: got an update %v, wait %v and error %v, want no update and a wait of at most %v", frame != nil, wait, err, updateInterval)
@@ -175,7 +175,7 @@
 	i := 0
 	for b.Loop() {
 		now = now.Add(updateInterval)
-		s.Leave(fleet.Incarnation(i+1), now)
+		s.Leave(registry.Leave{Target: fleet.Incarnation(i + 1), Born: 1}, now)
 		i++
 		for _, c := range list {
 			if _, _, err := s.next(c, now); err != nil {
@@ -245,7 +245,7 @@
 	}
 	b := fleetStore(t, 3, now)
 	for id := range fleet.Incarnation(3) {
-		b.Leave(id+1, now)
+		b.Leave(registry.Leave{Target: id + 1, Born: 1}, now)
 	}
 	now = now.Add(registry.GoneRetention + time.Second)
 	b.Tick(now)
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -205,16 +205,17 @@
 	return s.targets.Version(), nil
 }
 
-// Leave marks a target as gone and returns the version that includes this change.
-func (s *Store) Leave(id fleet.Incarnation, now time.Time) registry.Version {
+// Leave records that a target has announced its end, as registry.Registry.Leave does, and
+// returns the version that includes the change, if there is one.
+func (s *Store) Leave(l registry.Leave, now time.Time) registry.Version {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.targets.Version()
-	if rec, ok := s.restored.take(id); ok {
+	if rec, ok := s.restored.take(l.Target); ok {
 		// Restore fails only for invalid records, which Store.Restore refuses.
 		_ = s.targets.Restore(rec, now)
 	}
-	s.targets.Leave(id, now)
+	s.targets.Leave(l, now)
 	s.notifyTargets(before)
 	return s.targets.Version()
 }
--- a/internal/hub/calls.go
+++ b/internal/hub/calls.go
@@ -36,10 +36,11 @@
 	return next, nil
 }
 
-// Leave marks a target as gone. It waits for a majority of the hubs as Announce
-// does, and returns the same UnavailableError.
-func (d *Daemon) Leave(ctx context.Context, id fleet.Incarnation) error {
-	return d.confirm(ctx, id, d.store.Leave(id, time.Now()))
+// Leave records that a target has announced its end, as registry.Registry.Leave does. It
+// waits for a majority of the hubs as Announce does, and returns the same
+// UnavailableError.
+func (d *Daemon) Leave(ctx context.Context, l registry.Leave) error {
+	return d.confirm(ctx, l.Target, d.store.Leave(l, time.Now()))
 }
 
 func (d *Daemon) confirm(ctx context.Context, id fleet.Incarnation, v registry.Version) error {
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -279,7 +279,7 @@
 	if err := announce(c.hubs[0], record(2, 2, fleet.TargetDraining)); !errors.As(err, &unavailable) {
 		t.Errorf("drain at a hub without a majority: got %v, want an UnavailableError", err)
 	}
-	if err := c.hubs[0].Leave(ctx, 2); !errors.As(err, &unavailable) {
+	if err := c.hubs[0].Leave(ctx, registry.Leave{Target: 2, Born: 1}); !errors.As(err, &unavailable) {
 		t.Errorf("leave at a hub without a majority: got %v, want an UnavailableError", err)
 	}
 	if err := c.hubs[0].Put(ctx, document(2)); err == nil {
--- a/pkg/registry/record.go
+++ b/pkg/registry/record.go
@@ -25,6 +25,15 @@
 		Age    uint32
 	}
 
+	// Leave is a target's call that it has stopped.
+	Leave struct {
+		Target fleet.Incarnation
+		// Born is the Record.Born of the process that has stopped, or 0 if the call does
+		// not tell it. The call may then be a late one of an earlier process of the
+		// target.
+		Born int64
+	}
+
 	// Record describes one target. Its durations are relative to the time at
 	// which the record was created, so that the clocks of two VMs are never
 	// compared.
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -34,6 +34,7 @@
 	CauseSilent    Cause = "Silent"    // the target exceeded the silence limit
 	CauseReplaced  Cause = "Replaced"  // another target has taken over the address
 	CauseLeft      Cause = "Left"      // the target announced that it has stopped
+	CauseEnded     Cause = "Ended"     // a draining target has been silent for GoneRetention
 	CauseGone      Cause = "Gone"      // another VM reported that the target is gone
 	CauseHolders   Cause = "Holders"   // the holders of a cold target were chosen
 )
@@ -75,6 +76,9 @@
 		lastHeard time.Time
 		warmAt    time.Time
 		endedAt   time.Time
+		// leaveAt is the time of a Leave without Born, which ends the target unless it
+		// announces itself after that time.
+		leaveAt time.Time
 		// changeVersion is the version of the last change of record, and change the
 		// entry's element of Registry.changes.
 		changeVersion Version
@@ -350,18 +354,38 @@
 	}
 }
 
-// Leave marks a target that has announced its end as gone, and reports whether
-// the target was known and not yet gone.
-func (r *Registry) Leave(id fleet.Incarnation, now time.Time) bool {
-	e := r.entries[id]
-	if e == nil || e.record.Gone() {
+// Leave marks a target that has announced its end as gone, and reports whether it has
+// done so. A Leave of an earlier process than the one that is known has no effect. If the
+// Leave does not tell the process, the target is gone once it is silent and has not been
+// heard since.
+func (r *Registry) Leave(l Leave, now time.Time) bool {
+	e := r.entries[l.Target]
+	switch {
+	case e == nil || e.record.Gone() || l.Born != 0 && l.Born < e.record.Born:
+		return false
+	case l.Born == 0:
+		e.leaveAt = now
 		return false
 	}
+	e.record.Born = l.Born
 	r.markGone(e, CauseLeft, now)
 	return true
 }
 
-// Tick marks the targets that have exceeded SilenceLimit as silent, and removes
+// endCause returns the cause if a target that is silent counts as gone, or "". A draining
+// target gets no new flows, and its open flows have ended after GoneRetention.
+func (e *entry) endCause(silence time.Duration, silenceLimit time.Duration) Cause {
+	switch {
+	case e.record.Gone() || silence <= silenceLimit:
+	case !e.leaveAt.IsZero() && !e.lastHeard.After(e.leaveAt):
+		return CauseLeft
+	case e.record.Target.State == fleet.TargetDraining && silence > GoneRetention:
+		return CauseEnded
+	}
+	return ""
+}
+
+// Tick marks the targets that have exceeded SilenceLimit as silent or as gone, and removes
 // the targets that have been gone for longer than GoneRetention.
 func (r *Registry) Tick(now time.Time) {
 	gap := now.Sub(r.lastTick)
@@ -369,10 +393,16 @@
 	for id, e := range r.entries {
 		if gap > maxTickGap {
 			e.lastHeard = e.lastHeard.Add(gap)
+			if !e.leaveAt.IsZero() {
+				e.leaveAt = e.leaveAt.Add(gap)
+			}
 		}
+		cause := e.endCause(now.Sub(e.lastHeard), r.SilenceLimit)
 		switch {
 		case e.record.Gone() && now.Sub(e.endedAt) > GoneRetention:
 			r.remove(id, e)
+		case cause != "":
+			r.markGone(e, cause, now)
 		case !e.record.Gone() && !e.record.Silent && now.Sub(e.lastHeard) > r.SilenceLimit:
 			e.record.Silent = true
 			r.recordChange(e, CauseSilent)
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -78,7 +78,7 @@
 			}
 		}
 		for _, id := range test.leave {
-			r.Leave(id, start)
+			r.Leave(Leave{Target: id, Born: 10}, start)
 			if _, err := r.Merge(record(id, 1, 10, 100, ready), start); err != nil {
 				t.Fatal(err)
 			}
@@ -234,7 +234,7 @@
 	if b.Renew(Heard{Target: 1}, "a", now); states(b, now)[1] != fleet.TargetReady {
 		t.Errorf("silent target after a renewal: got %s, want Ready", states(b, now)[1])
 	}
-	b.Leave(1, now)
+	b.Leave(Leave{Target: 1, Born: 1}, now)
 	if b.Renew(Heard{Target: 1}, "a", now.Add(time.Second)) || b.Renew(Heard{Target: 2}, "a", now) {
 		t.Error("renewal of a gone or unknown target: got true, want false")
 	}
@@ -303,3 +303,81 @@
 		t.Fatalf("Len: got %d, want %d", r.Len(), live)
 	}
 }
+
+// Guards against a late leave of an earlier process of a target that ends the process
+// which runs now, and against targets that have left and never count as gone.
+func TestLeave(t *testing.T) {
+	const ready, draining, gone = fleet.TargetReady, fleet.TargetDraining, fleet.TargetGone
+	type step struct {
+		after time.Duration // since the step before
+		do    func(r *Registry, now time.Time)
+		want  fleet.TargetState
+		// suspended is set if the VM does not run before the step.
+		suspended bool
+	}
+	merge := func(born int64, seq Sequence, state fleet.TargetState) func(*Registry, time.Time) {
+		return func(r *Registry, now time.Time) {
+			if _, err := r.Merge(record(1, 1, born, seq, state), now); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	leave := func(born int64) func(*Registry, time.Time) {
+		return func(r *Registry, now time.Time) { r.Leave(Leave{Target: 1, Born: born}, now) }
+	}
+	renew := func(r *Registry, now time.Time) { r.Renew(Heard{Target: 1}, "b", now) }
+	nothing := func(*Registry, time.Time) {}
+	const interval = silenceLimit / 2
+	for _, test := range []struct {
+		name  string
+		steps []step
+	}{
+		{"same process", []step{{do: merge(10, 1, ready), want: ready}, {do: leave(10), want: gone}, {do: merge(10, 2, ready), want: gone}}},
+		{"earlier process", []step{
+			{do: merge(20, 1, ready), want: ready}, {do: leave(10), want: ready}, {after: interval, do: merge(20, 2, ready), want: ready},
+		}},
+		{"later process than the known one", []step{
+			{do: merge(10, 1, draining), want: draining}, {do: leave(20), want: gone}, {do: merge(10, 2, ready), want: gone},
+		}},
+		{"process not told, after a restart", []step{
+			{do: merge(10, 9, draining), want: draining}, {after: interval, do: merge(20, 1, ready), want: ready}, {after: interval, do: leave(0), want: ready},
+			{after: interval, do: merge(20, 2, ready), want: ready}, {after: silenceLimit, do: nothing, want: ready}, {after: interval, do: nothing, want: StateSilent},
+		}},
+		{"process not told, while the process after it drains", []step{
+			{do: merge(20, 1, draining), want: draining}, {do: leave(0), want: draining}, {after: interval, do: merge(20, 2, draining), want: draining},
+			{after: silenceLimit, do: nothing, want: draining}, {after: interval, do: nothing, want: StateSilent},
+		}},
+		{"process not told, and heard by another VM", []step{
+			{do: merge(20, 1, ready), want: ready}, {do: leave(0), want: ready}, {after: interval, do: renew, want: ready},
+			{after: silenceLimit, do: nothing, want: ready}, {after: interval, do: nothing, want: StateSilent},
+		}},
+		{"process not told, and silent", []step{
+			{do: merge(10, 1, draining), want: draining}, {after: interval, do: leave(0), want: draining},
+			{after: interval, do: nothing, want: draining}, {after: interval, do: nothing, want: gone},
+		}},
+		{"process not told, at a VM that is suspended", []step{
+			{do: merge(10, 1, draining), want: draining}, {do: leave(0), want: draining}, {after: time.Hour, do: (*Registry).Tick, want: draining, suspended: true},
+			{after: interval, do: merge(10, 2, draining), want: draining}, {after: silenceLimit, do: nothing, want: draining},
+		}},
+		{"draining and silent without a leave", []step{
+			{do: merge(10, 1, draining), want: draining}, {after: GoneRetention, do: nothing, want: StateSilent}, {after: interval, do: nothing, want: gone},
+		}},
+		{"ready and silent", []step{
+			{do: merge(10, 1, ready), want: ready}, {after: GoneRetention + interval, do: nothing, want: StateSilent},
+		}},
+	} {
+		r, now := New(silenceLimit, start), start
+		for i, s := range test.steps {
+			end := now.Add(s.after)
+			for !s.suspended && now.Before(end) {
+				now = now.Add(maxTickGap / 2)
+				r.Tick(now)
+			}
+			now = end
+			s.do(r, now)
+			if got := states(r, now)[1]; got != s.want {
+				t.Errorf("%s, step %d: got %s, want %s", test.name, i, got, s.want)
+			}
+		}
+	}
+}
