announce: calls of an earlier incarnation of a target are refused

Change: both get a StaleError (409). A DELETE without an incarnation still ends whatever is registered; the page of the interface says so.

TestLateCallsOfEarlierIncarnation; before, the leave was accepted and incarnation 5 replaced 6.

--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -298,3 +298,32 @@
 		t.Errorf("targets of the next owner: got %+v, want one ready target", got)
 	}
 }
+
+// Guards against a late leave or announcement of a target from before its restart that
+// ends or replaces the process that runs now.
+func TestLateCallsOfEarlierIncarnation(t *testing.T) {
+	call := func(i fleet.Incarnation) *Announcement {
+		a := announcement(Ready)
+		a.Incarnation = i
+		return a
+	}
+	r := newRegistry(t, "a", "a")
+	for _, i := range []fleet.Incarnation{5, 6} {
+		if _, _, err := r.Announce(call(i), start); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var stale *StaleError
+	if err := r.Leave(call(5)); !errors.As(err, &stale) {
+		t.Errorf("leave of incarnation 5: got %v, want StaleError", err)
+	}
+	if _, _, err := r.Announce(call(5), start); !errors.As(err, &stale) {
+		t.Errorf("announcement of incarnation 5: got %v, want StaleError", err)
+	}
+	if targets := r.Targets(); len(targets) != 1 || targets[0].ID.Incarnation != 6 {
+		t.Errorf("targets: got %+v, want incarnation 6", targets)
+	}
+	if err := r.Leave(call(6)); err != nil || len(r.Targets()) != 0 {
+		t.Errorf("leave of incarnation 6: got %v and %+v, want none", err, r.Targets())
+	}
+}
--- a/internal/announce/error.go
+++ b/internal/announce/error.go
@@ -19,6 +19,7 @@
 	CodeUnknownService  = "UnknownService"
 	CodeUnknownTarget   = "UnknownTarget"
 	CodeAddressHeld     = "AddressHeld"
+	CodeStale           = "Stale"
 	CodeTransition      = "Transition"
 	CodeFull            = "Full"
 	CodeNoOwner         = "NoOwner"
@@ -51,6 +52,13 @@
 		Holder  fleet.ServiceID
 	}
 
+	// StaleError reports a call of an incarnation of a target that has restarted since.
+	// Registered is the present incarnation.
+	StaleError struct {
+		Target     fleet.TargetID
+		Registered fleet.Incarnation
+	}
+
 	// RegistryFullError reports a registry that has reached its target limit.
 	RegistryFullError struct{ Limit int }
 
@@ -90,6 +98,11 @@
 	return fmt.Sprintf("address %s is held by service %q", e.Address, e.Holder)
 }
 
+// Error implements error.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("target %s has restarted as incarnation %d", e.Target, e.Registered)
+}
+
 // Error implements error.
 func (e *RegistryFullError) Error() string {
 	return fmt.Sprintf("%d targets are registered, the limit", e.Limit)
@@ -128,6 +141,7 @@
 		credential *CredentialError
 		unknown    *fleet.UnknownError
 		held       *AddressHeldError
+		stale      *StaleError
 		transition *chart.TransitionError
 		full       *RegistryFullError
 		owner      *OwnerError
@@ -149,6 +163,8 @@
 		return http.StatusNotFound, CodeUnknownService
 	case errors.As(err, &held):
 		return http.StatusConflict, CodeAddressHeld
+	case errors.As(err, &stale):
+		return http.StatusConflict, CodeStale
 	case errors.As(err, &transition):
 		return http.StatusConflict, CodeTransition
 	case errors.As(err, &full):
--- a/internal/announce/registry.go
+++ b/internal/announce/registry.go
@@ -34,7 +34,8 @@
 		State           State           `json:"State,omitempty"`
 		Credential      string          `json:"Credential"`
 		// Incarnation increases with each restart of the target. If it is 0, the
-		// VM that receives the announcement assigns the incarnation.
+		// VM that receives the announcement assigns the incarnation. A late DELETE
+		// without it then ends the process that runs now.
 		Incarnation fleet.Incarnation `json:"Incarnation,omitempty"`
 	}
 
@@ -268,7 +269,7 @@
 // Announce registers a target, or renews the lease of a registered target. This
 // VM must own the target in its own view or in the view of the VM that forwarded
 // the announcement. Announce reports whether anything but the end of a lease
-// changed. It returns a RegistryFullError, an AddressHeldError or a
+// changed. It returns a RegistryFullError, an AddressHeldError, a StaleError or a
 // chart.TransitionError.
 func (r *Registry) Announce(a *Announcement, now time.Time) (Grant, bool, error) {
 	r.init()
@@ -276,6 +277,9 @@
 	if e != nil && e.target.ID.Service != a.Service {
 		return Grant{}, false, &AddressHeldError{Address: a.Address.String(), Holder: e.target.ID.Service}
 	}
+	if err := e.checkIncarnation(a); err != nil {
+		return Grant{}, false, err
+	}
 	// A new incarnation replaces the previous incarnation of the target.
 	if e == nil || e.target.ID != a.id() {
 		return r.create(a, now)
@@ -348,13 +352,25 @@
 	return t
 }
 
+// checkIncarnation returns a StaleError for a call of an earlier incarnation than the
+// registered one. e may be nil.
+func (e *registration) checkIncarnation(a *Announcement) error {
+	if e == nil || a.Incarnation == 0 || a.Incarnation >= e.target.ID.Incarnation {
+		return nil
+	}
+	return &StaleError{Target: a.id(), Registered: e.target.ID.Incarnation}
+}
+
 // Leave ends the lease of a target. It returns a fleet.UnknownError if this VM
-// has no lease of the target.
+// has no lease of the target, and a StaleError if the target has restarted since.
 func (r *Registry) Leave(a *Announcement) error {
 	e := r.registrations[a.Address]
 	if e == nil || e.target.ID.Service != a.Service {
 		return &fleet.UnknownError{Type: "target", Name: a.Address.String()}
 	}
+	if err := e.checkIncarnation(a); err != nil {
+		return err
+	}
 	if _, err := lifecycle.Next(e.state, lifecycle.leaveEvent); err != nil {
 		return fmt.Errorf("leave of %s: %w", e.target.ID, err)
 	}
