feed, steering: what is known of an earlier process does not count for its successor

- Entry VMs kept doubts, overdue requests, failed checks, used budgets and the loss of a target over its restart under the same id, since all are kept by cookie.
A health check that was begun before the restart counted after it, and was repeated at the address of the process before.
A lost target whose restart was known had its open flows reset until the next report of the hub.
- A hub kept the acknowledged version of another hub by its id.
A late acknowledgement on a connection from before a restart counted towards the majority that a drain waits for, and the end of such a connection removed the reports of the present one.

Change: the core forgets the health of a target when its start changes, and takes results of checks only for the process that was checked. The store takes acknowledgements only from the newest connection of a VM, and decides again about lost targets as soon as one of them is heard. The order of report counts of ids above 2^63 is right as well.

--- a/internal/feed/load.go
+++ b/internal/feed/load.go
@@ -48,12 +48,10 @@
 	}
 }
 
-// removeLoad removes the load of an entry VM whose connection has ended.
-func (s *Store) removeLoad(vm fleet.VMID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.load != nil {
-		s.load.aggregate.Remove(vm)
+// remove removes the load of an entry VM whose connection has ended.
+func (l *loadReports) remove(vm fleet.VMID) {
+	if l != nil {
+		l.aggregate.Remove(vm)
 	}
 }
 
--- a/internal/feed/lost.go
+++ b/internal/feed/lost.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/registry"
 )
 
 const (
@@ -189,6 +190,18 @@
 	}
 }
 
+// withdrawLost decides again which targets are lost if one of them has been heard. Entry
+// VMs would otherwise get the record of a target that has restarted before they learn
+// that it is no longer lost.
+func (s *Store) withdrawLost(heard []registry.Record, now time.Time) {
+	for i := range heard {
+		if slices.Contains(s.lost.lost, heard[i].Target.ID.Incarnation) {
+			s.updateLost(now)
+			return
+		}
+	}
+}
+
 // lateTargets returns the targets whose announcement is late by half an interval. They
 // are checked although no VM doubts them, so that a target is found to which only open
 // flows lead. If many are late, this hub is more likely cut off from announcements, and
--- a/internal/feed/lost_test.go
+++ b/internal/feed/lost_test.go
@@ -241,13 +241,13 @@
 func (v *lossVM) FlowEnded(steering.FlowKey, steering.FlowEvent)     {}
 
 func (v *lossVM) check(at *steering.Target, delay time.Duration) {
-	if _, suspected := v.core.SuspectHealthPath(at.Cookie); !suspected {
+	if _, suspected := v.core.SuspectHealthPath(at); !suspected {
 		return
 	}
 	s, t := v.sim, v.sim.targets[at.ID.Incarnation-1]
 	wait := max(t.free[0].Sub(s.now), 0)
 	if s.passes(v, t) && !s.lose(4) && t.queue < 10 && wait < 400*time.Millisecond {
-		s.after(4*lossOneWay+wait, func() { v.core.ReportCheck(at.Cookie, steering.CheckPassed, s.now); v.report() })
+		s.after(4*lossOneWay+wait, func() { v.core.ReportCheck(at, steering.CheckPassed, s.now); v.report() })
 		return
 	}
 	s.after(400*time.Millisecond, func() {
@@ -256,7 +256,7 @@
 		if (s.freeze == 0 || s.suspended) && (!s.passes(v, t) || t.queue >= 10 || s.lose(2)) {
 			r = steering.CheckUnreachable
 		}
-		v.core.ReportCheck(at.Cookie, r, s.now)
+		v.core.ReportCheck(at, r, s.now)
 		v.report()
 		if v.core.LoadReports && !v.core.IsLost(at.Cookie) {
 			delay = 125 * time.Millisecond
--- a/internal/feed/publisher.go
+++ b/internal/feed/publisher.go
@@ -91,6 +91,7 @@
 	if read(r, new(Ack)) != nil {
 		return
 	}
+	p.Store.connect(&hello)
 	received := make(chan struct{})
 	if hello.Role == Entry {
 		p.Store.setEntryVM(&hello, hello.ZoneRevision)
@@ -110,12 +111,7 @@
 	defer p.Store.addSubscribers(hello.Role, -1)
 	c := &cursor{vm: hello.VM, role: hello.Role, state: state{number: hello.Number}}
 	p.send(ctx, timedConn, c)
-	if hello.Role == Control {
-		p.Store.removeAck(hello.VM)
-	} else {
-		p.Store.report(hello.VM, hello.Zone, new(Ack), time.Now())
-		p.Store.removeLoad(hello.VM)
-	}
+	p.Store.disconnect(&hello, time.Now())
 }
 
 // receive processes acknowledgements until the connection fails.
@@ -125,10 +121,8 @@
 		if read(conn, &ack) != nil {
 			return
 		}
-		if hello.Role == Control {
-			p.Store.recordAck(hello.VM, &ack)
-		} else {
-			p.Store.report(hello.VM, hello.Zone, &ack, time.Now())
+		p.Store.acknowledge(hello, &ack, time.Now())
+		if hello.Role == Entry {
 			p.Store.setEntryVM(hello, ack.ZoneRevision)
 		}
 	}
--- a/internal/feed/reports.go
+++ b/internal/feed/reports.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -60,7 +61,7 @@
 	for id, n := range counts {
 		localCounts = append(localCounts, ReportCount{id, n})
 	}
-	slices.SortFunc(localCounts, func(a, b ReportCount) int { return int(int64(a.Target) - int64(b.Target)) })
+	slices.SortFunc(localCounts, func(a, b ReportCount) int { return cmp.Compare(a.Target, b.Target) })
 	for _, hubCounts := range r.hubs {
 		for _, count := range hubCounts {
 			counts[count.Target] += count.VMs
@@ -103,11 +104,9 @@
 	r.dirty = true
 }
 
-// report records the suspected and overdue targets and the load report in an
+// recordReport records the suspected and overdue targets and the load report in an
 // acknowledgement of an entry VM in a zone.
-func (s *Store) report(vm fleet.VMID, zone fleet.ZoneID, a *Ack, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (s *Store) recordReport(vm fleet.VMID, zone fleet.ZoneID, a *Ack, now time.Time) {
 	s.suspected.report(vm, a.Suspects)
 	s.overdue.report(vm, a.Overdue)
 	if s.lostEnabled {
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -39,6 +39,9 @@
 	completeAt time.Time
 	// entryFeed and controlFeed are the feeds of entry VMs and of control VMs.
 	entryFeed, controlFeed feedState
+	// connections holds the newest connection of each connected VM by its Hello. What
+	// arrives on an earlier one may be from before a restart of the VM.
+	connections map[fleet.VMID]*Hello
 	// ackedVersions holds the last version that each connected control VM has
 	// acknowledged; acked is closed and replaced at each acknowledgement.
 	ackedVersions map[fleet.VMID]registry.Version
@@ -82,6 +85,7 @@
 		settledAt:     now.Add(targets.SilenceLimit),
 		entryFeed:     newFeedState(Entry),
 		controlFeed:   newFeedState(Control),
+		connections:   make(map[fleet.VMID]*Hello),
 		ackedVersions: make(map[fleet.VMID]registry.Version),
 		acked:         make(chan struct{}),
 		suspected:     newTargetReports(),
@@ -201,6 +205,7 @@
 	}
 	s.trackCold(&rec, now)
 	s.chooseHolders(now)
+	s.withdrawLost([]registry.Record{rec}, now)
 	s.notifyTargets(before)
 	return s.targets.Version(), nil
 }
@@ -267,6 +272,7 @@
 		s.trackCold(&rec, now)
 	}
 	s.chooseHolders(now)
+	s.withdrawLost(u.Records, now)
 	for _, h := range u.Heard {
 		s.targets.Renew(h, from, now)
 	}
@@ -313,11 +319,50 @@
 	}
 }
 
+// connect makes the connection of hello the newest one of its VM, which has received
+// nothing yet.
+func (s *Store) connect(hello *Hello) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.connections[hello.VM] = hello
+	delete(s.ackedVersions, hello.VM)
+	delete(s.followed, hello.VM)
+}
+
+// disconnect removes what a VM has reported, if the connection of hello is its newest one.
+func (s *Store) disconnect(hello *Hello, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.connections[hello.VM] != hello {
+		return
+	}
+	delete(s.connections, hello.VM)
+	// The VM may have restarted and lost the state that it has acknowledged.
+	delete(s.ackedVersions, hello.VM)
+	delete(s.followed, hello.VM)
+	if hello.Role == Entry {
+		s.recordReport(hello.VM, hello.Zone, new(Ack), now)
+		s.load.remove(hello.VM)
+	}
+}
+
+// acknowledge processes an acknowledgement on the connection of hello. It has no effect
+// if the VM has opened another connection since.
+func (s *Store) acknowledge(hello *Hello, a *Ack, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.connections[hello.VM] != hello:
+	case hello.Role == Control:
+		s.recordAck(hello.VM, a)
+	default:
+		s.recordReport(hello.VM, hello.Zone, a, now)
+	}
+}
+
 // recordAck records the version that a control VM has acknowledged, and the hubs
 // whose feeds it receives.
 func (s *Store) recordAck(vm fleet.VMID, a *Ack) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if len(a.Sources) > 0 {
 		s.followed[vm] = make(map[fleet.VMID]bool, len(a.Sources))
 		for _, id := range a.Sources {
@@ -332,15 +377,6 @@
 	s.acked = make(chan struct{})
 }
 
-// removeAck removes the acknowledged version of a control VM whose connection has
-// ended: the control VM may have restarted and lost the acknowledged state.
-func (s *Store) removeAck(vm fleet.VMID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.ackedVersions, vm)
-	delete(s.followed, vm)
-}
-
 // Confirmed waits until a majority of the control VMs has acknowledged version
 // v of the targets. self, the ID of this control VM, counts as having
 // acknowledged v. If ctx ends first, Confirmed returns the error of ctx.
--- a/internal/gateway/check.go
+++ b/internal/gateway/check.go
@@ -103,7 +103,7 @@
 	started := time.Now()
 	quickSince, delay := started, minRecheckDelay
 	for n := 1; ; n++ {
-		path, suspected := c.Core.SuspectHealthPath(t.Cookie)
+		path, suspected := c.Core.SuspectHealthPath(t)
 		if !suspected {
 			return
 		}
@@ -113,12 +113,12 @@
 		}
 		if err == nil {
 			c.passed.Add(1)
-			c.Core.ReportCheck(t.Cookie, steering.CheckPassed, time.Now())
+			c.Core.ReportCheck(t, steering.CheckPassed, time.Now())
 			c.Log.Info("target passes its health check", targetField(logging.Target, t), zap.Int("Checks", n), zap.Duration(logging.After, time.Since(started)))
 			return
 		}
 		c.failed.Add(1)
-		c.Core.ReportCheck(t.Cookie, checkResult(err), time.Now())
+		c.Core.ReportCheck(t, checkResult(err), time.Now())
 		if n == 1 {
 			if c.Core.LoadReports {
 				c.Changed()
--- a/pkg/steering/core.go
+++ b/pkg/steering/core.go
@@ -295,6 +295,11 @@
 		}
 		v.inheritAll(c.view)
 		v.restrict(c.Regions)
+		for k, t := range v.targets {
+			if before := c.target(k); before != nil && before.born != t.born {
+				c.targetRestarted(k, v.builtAt)
+			}
+		}
 	}
 	c.view = v
 	if v != nil {
@@ -312,7 +317,12 @@
 		return
 	}
 	for i := range records {
+		k := CookieOf(records[i].Target.ID.Incarnation)
+		before := c.view.targets[k]
 		c.view.setTarget(&records[i], now)
+		if t := c.view.targets[k]; before != nil && before.born != t.born {
+			c.targetRestarted(k, now)
+		}
 	}
 }
 
--- a/pkg/steering/core_test.go
+++ b/pkg/steering/core_test.go
@@ -154,11 +154,11 @@
 			t.Errorf("flow %d: got target %d, want %d", n, got, second)
 		}
 	}
-	path, suspected := s.core.SuspectHealthPath(CookieOf(first))
+	path, suspected := s.core.SuspectHealthPath(s.core.target(CookieOf(first)))
 	if !suspected || path != "/health" {
 		t.Errorf("SuspectHealthPath: got %q, %v, want /health and true", path, suspected)
 	}
-	s.core.ReportCheck(CookieOf(first), CheckPassed, s.now)
+	s.core.ReportCheck(s.core.target(CookieOf(first)), CheckPassed, s.now)
 	if got := s.open(flowOf(30), 0); got != first {
 		t.Errorf("after a successful health check: got target %d, want %d", got, first)
 	}
@@ -239,7 +239,7 @@
 			s.records[i].Silent = silent
 		}
 		s.core.Change(s.records, s.now)
-		s.core.ReportCheck(CookieOf(at), CheckUnreachable, s.now)
+		s.core.ReportCheck(s.core.target(CookieOf(at)), CheckUnreachable, s.now)
 		s.core.SetSharedReports([]fleet.Incarnation{at}, []fleet.Incarnation{at})
 		s.now = s.now.Add(500 * time.Millisecond)
 		s.send(flowOf(1), at, at)
--- a/pkg/steering/lost.go
+++ b/pkg/steering/lost.go
@@ -187,11 +187,15 @@
 }
 
 // ReportCheck records the result of a health check: a suspected target remains
-// suspected unless it has passed. Only unreachable targets count in Failed.
-func (c *Core) ReportCheck(k Cookie, r CheckResult, now time.Time) {
+// suspected unless it has passed. Only unreachable targets count in Failed. The result
+// has no effect if the target has restarted since t was its description.
+func (c *Core) ReportCheck(t *Target, r CheckResult, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := c.targetLoadOf(k)
+	if !c.runs(t) {
+		return
+	}
+	l := c.targetLoadOf(t.Cookie)
 	l.failedAt = time.Time{}
 	switch r {
 	case CheckUnreachable:
--- a/pkg/steering/lost_test.go
+++ b/pkg/steering/lost_test.go
@@ -38,7 +38,9 @@
 		{"idempotent request in progress", true, true, func(s *harness, _ fleet.Incarnation) {}, Reset},
 		{"order in progress", false, true, func(s *harness, _ fleet.Incarnation) {}, Forward},
 		{"order in progress for 3 s", false, true, func(s *harness, _ fleet.Incarnation) { s.now = s.now.Add(goneTime - 2*time.Second) }, Reset},
-		{"target that passes a health check", true, true, func(s *harness, at fleet.Incarnation) { s.core.ReportCheck(CookieOf(at), CheckPassed, s.now) }, Forward},
+		{"target that passes a health check", true, true, func(s *harness, at fleet.Incarnation) {
+			s.core.ReportCheck(s.core.target(CookieOf(at)), CheckPassed, s.now)
+		}, Forward},
 		{"target whose response is acknowledged", true, true, func(s *harness, _ fleet.Incarnation) { s.data(2) }, Forward},
 		{"feed that has ended", true, true, func(s *harness, _ fleet.Incarnation) { s.core.SetDoubted(nil, nil, s.now) }, Forward},
 		{"without load reports", true, false, func(s *harness, _ fleet.Incarnation) {}, Forward},
--- a/pkg/steering/suspicion.go
+++ b/pkg/steering/suspicion.go
@@ -83,22 +83,39 @@
 	return l == nil || now.Sub(l.lastAnswered) > answerTrustTime
 }
 
-// SuspectHealthPath reports whether this VM suspects the target and the target is
-// not gone. If so, it returns the health path of the target's service.
-func (c *Core) SuspectHealthPath(k Cookie) (healthPath string, suspected bool) {
+// SuspectHealthPath reports whether this VM suspects the process of the target that t
+// describes, and the target is not gone. If so, it returns the health path of the
+// target's service.
+func (c *Core) SuspectHealthPath(t *Target) (healthPath string, suspected bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := c.targetLoads[k]
-	if l == nil || !l.suspected || c.view == nil {
-		return "", false
-	}
-	t := c.view.targets[k]
-	if t == nil || t.State == fleet.TargetGone {
+	l := c.targetLoads[t.Cookie]
+	if l == nil || !l.suspected || !c.runs(t) {
 		return "", false
 	}
 	return c.view.healthPath(t.ID.Service), true
 }
 
+// runs reports whether the view has the process of the target that t describes, and the
+// target is not gone.
+func (c *Core) runs(t *Target) bool {
+	current := c.target(t.Cookie)
+	return current != nil && current.born == t.born && current.State != fleet.TargetGone
+}
+
+// targetRestarted forgets what was known about the health of the process of a target
+// that ran before. Opening packets from before the restart are no doubt about the process
+// that runs now.
+func (c *Core) targetRestarted(k Cookie, now time.Time) {
+	if l := c.targetLoads[k]; l != nil {
+		*l = targetLoad{running: l.running, inFlight: l.inFlight, lastAnswered: now}
+	}
+	delete(c.sharedSuspects, k)
+	delete(c.sharedOverdue, k)
+	delete(c.lost.lost, k)
+	delete(c.lost.candidates, k)
+}
+
 // Suspects returns the targets that this VM suspects, to be reported to other
 // VMs. The result is empty if more than maxTrustedSuspects targets and more than
 // half of all targets that are not gone are suspected, because the fault is then
