settings: deeply nested documents are refused before they are decoded

A report of another operator: one odd, very deeply nested entry, after which machines that read the list ended or stopped. Here, a document of 60 KB with 20,000 nested inline tables took 43 s in the TOML decoder, one with a key of 30,000 parts 64 s (trial, this machine). Replicas decode a write as they apply it, so all of them would have stopped for that time.

Change: a linear scan refuses texts in which values or keys are nested more than 32 times. Such documents were refused before as well, as they have unknown keys; only the time and the text of the reason differ.

--- a/pkg/settings/document.go
+++ b/pkg/settings/document.go
@@ -98,6 +98,10 @@
 		return nil, &PathError{Path: string(p), Reason: "names no document"}
 	}
 	r := &report{path: p}
+	if nestedTooDeeply(text) {
+		r.add("", fmt.Sprintf("values or keys are nested more than %d times", maxNesting))
+		return nil, r.err()
+	}
 	meta, err := toml.Decode(text, c)
 	if err != nil {
 		r.addParseError(err)
