--- /dev/null
+++ b/internal/feed/admit.go
@@ -0,0 +1,69 @@
+package feed
+
+import (
+	"fmt"
+	"slices"
+
+	"bamboowalk.org/bamboowalk/pkg/catalog"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"bamboowalk.org/bamboowalk/pkg/registry"
+)
+
+// ServiceError reports an announcement for a service that would take the place of a
+// target in use.
+type ServiceError struct {
+	Target  fleet.TargetID
+	InUse   fleet.TargetID
+	Unknown bool
+}
+
+// Error names the two targets, and says whether the service is unknown.
+func (e *ServiceError) Error() string {
+	reason := "which runs for another service"
+	if e.Unknown {
+		reason = "and its service is unknown"
+	}
+	return fmt.Sprintf("announcement of %s is in the place of %s, %s", e.Target, e.InUse, reason)
+}
+
+// checkPlace returns a ServiceError if an announcement would end or move a target that is
+// in use. An announcement for a service that the catalog does not have may do neither.
+// One for another service under the same id has to wait until the target is silent or
+// draining: the process that runs now would otherwise get the requests of that service.
+func (s *Store) checkPlace(rec *registry.Record) error {
+	id := rec.Target.ID
+	for _, other := range s.inPlaceOf(rec) {
+		same := other.Target.ID.Incarnation == id.Incarnation
+		switch {
+		case other.Target.ID.Service == id.Service || other.Gone() || !hasService(s.catalog.Newest(), other.Target.ID.Service):
+		case !hasService(s.catalog.Newest(), id.Service):
+			return &ServiceError{Target: id, InUse: other.Target.ID, Unknown: true}
+		case same && !other.Silent && other.Target.TakesNewFlows():
+			return &ServiceError{Target: id, InUse: other.Target.ID}
+		}
+	}
+	return nil
+}
+
+// inPlaceOf returns the known records with the id or with the address of rec.
+func (s *Store) inPlaceOf(rec *registry.Record) []registry.Record {
+	var records []registry.Record
+	if r, ok := s.targets.Get(rec.Target.ID.Incarnation); ok {
+		records = append(records, r)
+	}
+	if r, ok := s.targets.At(rec.Target.ID.Address); ok {
+		records = append(records, r)
+	}
+	if r, ok := s.restored.records[rec.Target.ID.Incarnation]; ok {
+		records = append(records, r)
+	}
+	if id, ok := s.restored.byAddress[rec.Target.ID.Address]; ok {
+		records = append(records, s.restored.records[id])
+	}
+	return records
+}
+
+// hasService reports whether a catalog, which may be nil, has a service.
+func hasService(c *catalog.Catalog, id fleet.ServiceID) bool {
+	return c != nil && slices.ContainsFunc(c.Services, func(s catalog.Service) bool { return s.ID == id })
+}
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -191,10 +191,14 @@
 }
 
 // Merge merges the record of an announcement to this hub into the registry and
-// returns the version that includes it. It returns the errors of registry.Registry.Merge.
+// returns the version that includes it. It returns the errors of registry.Registry.Merge,
+// and a ServiceError if the announcement would take the place of a target in use.
 func (s *Store) Merge(rec registry.Record, now time.Time) (registry.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.checkPlace(&rec); err != nil {
+		return 0, err
+	}
 	before := s.targets.Version()
 	rec.ZoneRevision = s.zoneOrders.RestoredAt(rec.Target.Zone)
 	if _, err := s.targets.Merge(rec, now); err != nil {
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -126,6 +126,16 @@
 	return e.record, true
 }
 
+// At returns the record of the target at an address that is not gone, and whether there
+// is one. Age and Warmup of the record are those at its arrival.
+func (r *Registry) At(address netip.AddrPort) (Record, bool) {
+	e := r.byAddress[address]
+	if e == nil {
+		return Record{}, false
+	}
+	return e.record, true
+}
+
 // LastHeard returns the time of the last announcement of a target to any VM, or zero
 // for an unknown target.
 func (r *Registry) LastHeard(id fleet.Incarnation) time.Time {
