feed: an odd record does not end a feed or the start from saved state

A report of another operator: one odd entry, after which machines stopped following the list. Here, a record that the receiver refuses (a negative number, an unknown state, from a hub of another version or a damaged file) failed the whole update: an entry VM or hub closed the feed, and got the same record again with the next one, and a hub started without its saved state.

Change: invalid records are left out, counted and logged; the others hold.

--- a/internal/feed/admit_test.go
+++ b/internal/feed/admit_test.go
@@ -1,10 +1,13 @@
 package feed
 
 import (
+	"bytes"
 	"errors"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/registry"
 )
@@ -70,3 +73,66 @@
 		}
 	}
 }
+
+// Guards against one odd record that ends the feed, or the start from saved state, for all
+// targets. A hub of an earlier version may have accepted it.
+func TestOddRecords(t *testing.T) {
+	now := time.Now()
+	odd := func() *Update {
+		u := &Update{Version: 1, Full: true}
+		for id := range fleet.Incarnation(4) {
+			u.Records = append(u.Records, record(id+1, 1, fleet.TargetReady))
+		}
+		u.Records[0].Target.Slots = -1
+		u.Records[1].Target.State = "Odd"
+		u.Records[2].Warmup = -time.Second
+		return u
+	}
+	store, address := publish(t, "a")
+	frame, err := encode(odd())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := open(t, address, &Hello{VM: "e", Zone: "z0", Role: Entry})
+	if _, err := s.Next(); err != nil {
+		t.Fatal(err)
+	}
+	s.r.Reset(bytes.NewReader(frame))
+	u, err := s.Next()
+	if err != nil || len(u.Records) != 1 || u.Dropped != 3 || u.Records[0].Target.ID.Incarnation != 4 {
+		t.Fatalf("update with three odd records: got %+v, %v, want one record", u, err)
+	}
+	if err := store.ApplyUpdate("b", u, now); err != nil || store.Targets() != 1 {
+		t.Errorf("merge: got %v and %d targets, want one", err, store.Targets())
+	}
+	saved, err := cbor.Marshal(odd())
+	if err != nil {
+		t.Fatal(err)
+	}
+	restarted := NewStore(Hub{VM: "a", Zone: "z0"}, registry.New(3*time.Second, now), now)
+	if err := restarted.Restore(saved, now); err != nil || restarted.Targets() != 1 {
+		t.Errorf("restore: got %v and %d targets, want one", err, restarted.Targets())
+	}
+}
+
+// Guards against saved state of any content that ends the process at each start.
+func FuzzRestore(f *testing.F) {
+	now := time.Unix(1e9, 0)
+	saved, err := fleetStore(f, 3, now).Encode(now)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(saved)
+	f.Add(saved[:len(saved)/2])
+	f.Add(bytes.Repeat([]byte{0x81}, 10000)) // nested lists
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s := NewStore(Hub{VM: "a", Zone: "z0"}, registry.New(3*time.Second, now), now)
+		if s.Restore(b, now) != nil {
+			return
+		}
+		s.Tick(now.Add(time.Second))
+		if _, err := s.Encode(now); err != nil {
+			t.Errorf("restored state can't be saved: %v", err)
+		}
+	})
+}
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -90,6 +90,9 @@
 		// Zones is nil if the zones have not changed or there was no zone order. A
 		// subscriber applies only a higher revision than its own.
 		Zones *catalog.Zones `cbor:"10,keyasint,omitempty"`
+		// Dropped is the number of invalid records that were left out of Records when the
+		// update was received.
+		Dropped int `cbor:"-"`
 	}
 
 	// Reports holds the aggregated reports of entry VMs about targets.
@@ -193,14 +196,17 @@
 	return nil
 }
 
-// Validate returns a MessageError for an invalid record or invalid zones. A catalog
-// delta is validated when it is applied.
+// dropInvalid removes the records that are not valid, so that one odd record does not end
+// a feed, or the start from saved state, for all targets.
+func (u *Update) dropInvalid() {
+	before := len(u.Records)
+	u.Records = slices.DeleteFunc(u.Records, func(r registry.Record) bool { return r.Validate() != nil })
+	u.Dropped = before - len(u.Records)
+}
+
+// Validate returns a MessageError for invalid zones or an invalid load. A catalog
+// delta is validated when it is applied, and a record when it is merged.
 func (u *Update) Validate() error {
-	for i := range u.Records {
-		if err := u.Records[i].Validate(); err != nil {
-			return &MessageError{Type: "Update", Reason: "invalid record", Err: err}
-		}
-	}
 	if u.Zones != nil {
 		if err := u.Zones.Validate(); err != nil {
 			return &MessageError{Type: "Update", Reason: "invalid zones", Err: err}
--- a/internal/feed/saved.go
+++ b/internal/feed/saved.go
@@ -62,8 +62,8 @@
 
 // Restore publishes the catalog, the zones and the targets that Encode returned in an earlier
 // run of the process, the targets to entry VMs only. A restored target that no hub
-// has heard one silence limit after the start is no longer published. If the data are damaged, Restore
-// publishes nothing and returns a MessageError or an error of
+// has heard one silence limit after the start is no longer published. Invalid records are
+// left out. If the data are damaged, Restore publishes nothing and returns a MessageError or an error of
 // catalog.Catalog.Apply.
 func (s *Store) Restore(data []byte, now time.Time) error {
 	u := new(Update)
@@ -73,6 +73,7 @@
 	if err := u.Validate(); err != nil {
 		return err
 	}
+	u.dropInvalid()
 	for i := range u.Records {
 		u.Records[i].Age, u.Records[i].Warmup, u.Records[i].Silent = 0, 0, false
 	}
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -79,8 +79,8 @@
 	return s, nil
 }
 
-// Next returns the next update. The first call requests updates from the
-// publisher. Next fails if no data arrive for IdleTimeout.
+// Next returns the next update without its invalid records. The first call requests
+// updates from the publisher. Next fails if no data arrive for IdleTimeout.
 func (s *Subscription) Next() (*Update, error) {
 	if !s.started {
 		s.started = true
@@ -92,6 +92,7 @@
 	if err := read(s.r, u); err != nil {
 		return nil, err
 	}
+	u.dropInvalid()
 	return u, nil
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -379,6 +379,9 @@
 	emptySearchDelay := minSearchInterval
 	for {
 		now := time.Now()
+		if u.Dropped > 0 {
+			f.Log.Warn("invalid records of a hub left out", zap.String(logging.Hub, string(s.hub)), zap.Int("Records", u.Dropped))
+		}
 		err = f.applyUpdate(u, now)
 		if u.Current || lastCurrent.IsZero() {
 			lastCurrent = now
--- a/internal/hub/peers.go
+++ b/internal/hub/peers.go
@@ -92,6 +92,9 @@
 		if err != nil {
 			return err
 		}
+		if u.Dropped > 0 {
+			d.Log.Warn("invalid records of another hub left out", zap.String("Hub", string(from)), zap.Int("Records", u.Dropped))
+		}
 		if err := d.store.ApplyUpdate(from, u, time.Now()); err != nil {
 			return err
 		}
