replica, control: a replica opens again by itself when a full disk has room

What can happen here:

- A control VM of the own interface ended when a write of its log failed, and when its disk was full at the start: without a supervisor, two disks in turn end the majority.
- A replica that had stopped kept its segment open, and with it the space of the file.

Other errors end the daemon as before.

--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -24,7 +24,8 @@
 // collector exports the revision of the settings and the numbers of deltas and
 // hints sent. It reads the current values at each scrape.
 type collector struct {
-	loop *loop
+	// loop returns the loop of the replica, or nil if there is none.
+	loop func() *loop
 }
 
 var _ prometheus.Collector = (*collector)(nil)
@@ -36,12 +37,16 @@
 // Describe sends no descriptions, which makes the collector unchecked.
 func (c *collector) Describe(chan<- *prometheus.Desc) {}
 
-// Collect sends the current values, or none once the loop has ended.
+// Collect sends the current values, or none while the replica is down.
 func (c *collector) Collect(ch chan<- prometheus.Metric) {
 	var spreadStats spread.Stats
 	var revision float64
-	err := c.loop.Do(context.Background(), func(time.Time) {
-		spreadStats, revision = c.loop.spreadNode.Stats(), float64(c.loop.machine.Revision())
+	l := c.loop()
+	if l == nil {
+		return
+	}
+	err := l.Do(context.Background(), func(time.Time) {
+		spreadStats, revision = l.spreadNode.Stats(), float64(l.machine.Revision())
 	})
 	if err != nil {
 		return
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -172,7 +172,7 @@
 	}
 )
 
-// Open starts a replica from its data directory. If the directory is empty, the
+// Open starts a replica from its data directory. If the directory holds no log, the
 // replica starts as a learner with Options.Incarnation and asks its peers for
 // admission. Open returns a fleet.FieldError for missing options, a CorruptError
 // for damaged files, a DiskError for failed file operations, and a StoppedError
@@ -215,6 +215,14 @@
 	if err != nil {
 		return err
 	}
+	if number == 0 && snap != nil {
+		// Bootstrap did not end. This replica has neither voted nor acknowledged anything,
+		// and starts as one without a log.
+		if err := removeOlderFiles(r.opts.FS, snapshotPrefix, uint64(snap.At.Index)+1); err != nil {
+			return err
+		}
+		snap = nil
+	}
 	state := &walState{self: Identity{VM: r.opts.Self, Incarnation: r.opts.Incarnation}}
 	name := fileName(walPrefix, number)
 	if number > 0 {
@@ -224,8 +232,6 @@
 	}
 	r.self, r.hard, r.base, r.log = state.self, state.hard, state.base, state.log
 	switch {
-	case number == 0 && snap != nil:
-		return &CorruptError{File: walPrefix, Reason: "a snapshot exists but no WAL segment"}
 	case r.self.VM != r.opts.Self:
 		return &CorruptError{File: name, Reason: fmt.Sprintf("the log belongs to replica %s", r.self.VM)}
 	case snap == nil && r.base.Index > 0 || snap != nil && r.base.Index > snap.At.Index:
@@ -376,6 +382,7 @@
 		return
 	}
 	r.stopErr = &StoppedError{Err: err}
+	r.wal.close()
 	r.leader = ""
 	r.fire(eventStop)
 	r.failPending()
