hub: a damaged log is set aside, and the hub joins as a new replica

A hub whose log was damaged tried to open it every 0.5 s for good, while its process ran and answered announcements; the package page said that the caller clears the directory. With another hub away, no change could be acknowledged.

Change: the log is moved to log.damaged, and the hub is admitted with a new incarnation, which has no vote until it has the log. While the folder exists, the hub does not bootstrap, whatever its settings say: an initial member without its log would vote as if it had it. Files of the hub are opened through one function, so that tests fill its disk.

TestDamagedLog cuts the newest segment of each of three hubs in turn: before, the hub had no replica after 15 s.

--- a/internal/hub/cache.go
+++ b/internal/hub/cache.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,7 +17,6 @@
 	cacheFile = "published"
 	// cacheInterval is the minimum time between two writes of the cache.
 	cacheInterval = 500 * time.Millisecond
-	fileMode      = 0o600
 )
 
 // CacheError reports that the cache file, which holds the published state, can't
@@ -39,7 +37,7 @@
 // election and for the announcements of all targets. The restored state is valid,
 // because the catalog was committed and the targets were announced before.
 func (d *Daemon) restore(now time.Time) {
-	b, err := os.ReadFile(d.cachePath())
+	b, err := d.files(d.Settings.Data).ReadFile(cacheFile)
 	if errors.Is(err, os.ErrNotExist) {
 		return
 	}
@@ -54,8 +52,6 @@
 		zap.Uint64(logging.Revision, uint64(d.store.Zones().Revision)))
 }
 
-func (d *Daemon) cachePath() string { return filepath.Join(d.Settings.Data, cacheFile) }
-
 // runCache writes the published state to the disk if it has changed since the
 // last successful write. It checks for changes every cacheInterval.
 func (d *Daemon) runCache(ctx context.Context) error {
@@ -91,8 +87,9 @@
 	if err != nil {
 		return &CacheError{Op: "encode", Err: err}
 	}
-	tempPath := d.cachePath() + ".new"
-	f, err := os.OpenFile(tempPath, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	const temp = cacheFile + ".new"
+	files := d.files(d.Settings.Data)
+	f, err := files.Create(temp)
 	if err != nil {
 		return &CacheError{Op: "create", Err: err}
 	}
@@ -104,7 +101,7 @@
 		return &CacheError{Op: "write", Err: err}
 	}
 	// If a loss of power undoes the rename, the previous file remains.
-	if err := os.Rename(tempPath, d.cachePath()); err != nil {
+	if err := files.Rename(temp, cacheFile); err != nil {
 		return &CacheError{Op: "rename", Err: err}
 	}
 	return nil
--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -35,6 +35,9 @@
 	dirMode          = 0o700
 	// logDir is the subdirectory of the data directory with the replica's files.
 	logDir = "log"
+	// damagedDir is the subdirectory to which a damaged log is moved. While it exists, the
+	// hub never starts as an initial member of the log.
+	damagedDir = "log.damaged"
 	// drainMargin is added to the announcement interval for the time for which a hub
 	// that stops as planned still answers calls, and asks its clients to close their
 	// connections: each target has then made a call.
@@ -102,6 +105,9 @@
 		loop    atomic.Pointer[replicaLoop]
 		role    string
 		members []fleet.VMID
+		// openDir returns the files of a directory; nil means those of the operating
+		// system.
+		openDir func(dir string) replica.FS
 		// limiter limits the rate of log lines about targets.
 		limiter     logging.Limiter
 		failedSaves atomic.Uint64
@@ -326,7 +332,7 @@
 	if err := os.MkdirAll(dir, dirMode); err != nil {
 		return nil, &OpenError{What: "the data directory", Err: err}
 	}
-	fs := replica.DirFS(dir)
+	fs := d.files(dir)
 	opts := replica.Options{
 		Self:         d.Settings.ID(),
 		Incarnation:  fleet.Incarnation(now.UnixNano()),
@@ -344,14 +350,36 @@
 		opts.Peers = append(opts.Peers, id)
 		members = append(members, replica.Member{Identity: replica.Identity{VM: id, Incarnation: firstIncarnation}, Voter: true})
 	}
-	if d.Settings.First && slices.Contains(opts.Peers, opts.Self) {
+	_, err := os.Stat(filepath.Join(d.Settings.Data, damagedDir))
+	damaged := err == nil
+	if d.Settings.First && !damaged && slices.Contains(opts.Peers, opts.Self) {
 		err := replica.Bootstrap(fs, replica.Identity{VM: opts.Self, Incarnation: firstIncarnation}, members)
 		var notEmpty *replica.NotEmptyError
 		if err != nil && !errors.As(err, &notEmpty) {
 			return nil, err
 		}
 	}
-	return replica.Open(opts, now)
+	r, err := replica.Open(opts, now)
+	var corrupt *replica.CorruptError
+	if errors.As(err, &corrupt) {
+		return nil, errors.Join(err, d.setLogAside(dir))
+	}
+	return r, err
+}
+
+// setLogAside moves a damaged log away, so that the replica is opened without one and is
+// admitted as a new incarnation. It would otherwise be missing from the majority for good.
+func (d *Daemon) setLogAside(dir string) error {
+	aside := filepath.Join(d.Settings.Data, damagedDir)
+	d.Log.Error("log is damaged and set aside; the replica joins as a new one", zap.String("Folder", aside))
+	return errors.Join(os.RemoveAll(aside), os.Rename(dir, aside))
+}
+
+func (d *Daemon) files(dir string) replica.FS {
+	if d.openDir != nil {
+		return d.openDir(dir)
+	}
+	return replica.DirFS(dir)
 }
 
 // observe publishes the members of the replicated log and whether a leader is
--- /dev/null
+++ b/internal/hub/disk_test.go
@@ -0,0 +1,96 @@
+package hub
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"bamboowalk.org/bamboowalk/internal/fakedisk"
+	"bamboowalk.org/bamboowalk/internal/feed"
+	"bamboowalk.org/bamboowalk/pkg/registry"
+)
+
+// Guards against a hub whose disk was full and that does not take part any more once there
+// is room, so that no majority is left when the disks of the others are full in turn; and
+// against saved state that is not written any more.
+func TestFullDisksInTurn(t *testing.T) {
+	c := newCluster(t, 3)
+	for range c.seeds {
+		c.disks = append(c.disks, new(fakedisk.Disk))
+	}
+	// The first start of hub 0 meets a full disk too.
+	c.disks[0].SetFull(true)
+	c.startAll(true)
+	c.put(1, 1, 2)
+	c.disks[0].SetFull(false)
+	n := 1
+	for round := range 2 {
+		for i := range c.seeds {
+			refused := c.disks[i].Refused()
+			c.disks[i].SetFull(true)
+			for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				n++
+				started := time.Now()
+				c.put(n, 0, 1, 2)
+				if d := time.Since(started); d > 5*time.Second {
+					t.Errorf("round %d, disk %d full: document %d was acknowledged after %v", round, i, n, d)
+				}
+			}
+			if c.disks[i].Refused() == refused {
+				t.Errorf("round %d: the disk of hub %d has refused nothing", round, i)
+			}
+			c.disks[i].SetFull(false)
+			c.eventually("the hub takes part again", func() error {
+				if role := c.role(i); role != "Follower" && role != "Leader" {
+					return fmt.Errorf("hub has role %s", role)
+				}
+				return nil
+			})
+		}
+	}
+	c.get(n, 0, 1, 2)
+	for i := range c.seeds {
+		c.eventually("saved state", func() error {
+			store := feed.NewStore(feed.Hub{}, registry.New(time.Second, time.Now()), time.Now())
+			b, err := os.ReadFile(filepath.Join(c.data(i), cacheFile))
+			if err != nil {
+				return err
+			}
+			if err := store.Restore(b, time.Now()); err != nil || int(store.Number()) != n {
+				return fmt.Errorf("saved state of hub %d: document %d, %v, want %d", i, store.Number(), err, n)
+			}
+			return nil
+		})
+	}
+}
+
+// Guards against a hub with a damaged log that runs without its replica for good.
+func TestDamagedLog(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startAll(true)
+	c.put(1, 0, 1, 2)
+	for i := range c.seeds {
+		c.hubs[i].stop()
+		files, err := filepath.Glob(filepath.Join(c.data(i), logDir, "wal-*"))
+		if err != nil || len(files) == 0 {
+			t.Fatalf("segments: got %v, %v", files, err)
+		}
+		if err := os.Truncate(files[len(files)-1], 10); err != nil {
+			t.Fatal(err)
+		}
+		c.start(i, true) // as the platform would not do
+		c.put(2+i, 0, 1, 2)
+		c.eventually("the hub votes again", func() error {
+			if role := c.role(i); role != "Follower" && role != "Leader" {
+				return fmt.Errorf("hub has role %s", role)
+			}
+			return nil
+		})
+		if _, err := os.Stat(filepath.Join(c.data(i), damagedDir)); err != nil {
+			t.Errorf("damaged log of hub %d: %v", i, err)
+		}
+	}
+	c.get(4, 0, 1, 2)
+}
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
+	"bamboowalk.org/bamboowalk/internal/fakedisk"
 	"bamboowalk.org/bamboowalk/internal/feed"
 	"bamboowalk.org/bamboowalk/pkg/catalog"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
@@ -53,6 +54,8 @@
 		hubs  []*runningHub
 		// handler is the HTTP interface of all hubs; nil serves nothing.
 		handler http.Handler
+		// disks holds the disks of the hubs; nil means those of the operating system.
+		disks []*fakedisk.Disk
 	}
 
 	runningHub struct {
@@ -105,6 +108,9 @@
 		Log:          zap.NewNop(),
 		LinesDropped: func() uint64 { return 0 },
 	}
+	if c.disks != nil {
+		d.openDir = c.disks[i].Open
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	started := make(chan struct{})
@@ -433,7 +439,7 @@
 	if err := os.MkdirAll(c.data(0), dirMode); err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(filepath.Join(c.data(0), cacheFile), []byte("damaged"), fileMode); err != nil {
+	if err := os.WriteFile(filepath.Join(c.data(0), cacheFile), []byte("damaged"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	c.startAll(true)
