gateway: opening packets that waited during a suspension are dropped

The callers' copies had opened the flows at other targets meanwhile. The answer of the second target changed the cookie of the open flows, whose next request went to a target that does not hold them.

Cause: receive took each packet as new. Only the backlog of a starting VM knew the age of what it held.

Change: a rule without a network (steering.Suspension) tells how old a packet may be: if the process has not run for 250 ms or more, and the socket has not been empty since, a packet may have waited for the whole gap. The reader notes when the socket was empty. Opening packets are dropped by the limits of the backlog (1.2, 1.0 and 0.6 s by copy); other packets are forwarded as before, to the targets of their cookies. The gap counts by the wall clock too, since the steady clock may stand still while a machine is suspended. Counter stale_openings_total, log line "process did not run".

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -104,15 +104,19 @@
 		salt    uint64
 		backlog steering.Backlog
 		// held is signalled when an opening packet is held.
-		held        chan struct{}
-		conn        *net.UDPConn
-		follower    follower
-		checker     checker
-		observer    observer
-		ready       atomic.Bool
-		draining    atomic.Bool
-		packets     atomic.Uint64
-		invalid     atomic.Uint64
+		held       chan struct{}
+		conn       *net.UDPConn
+		follower   follower
+		checker    checker
+		observer   observer
+		ready      atomic.Bool
+		draining   atomic.Bool
+		packets    atomic.Uint64
+		invalid    atomic.Uint64
+		suspension steering.Suspension
+		// stale counts the opening packets that were dropped because they had waited while
+		// this process was suspended.
+		stale       atomic.Uint64
 		failedSends atomic.Uint64
 	}
 
@@ -202,6 +206,7 @@
 	}
 	d.Log.Info("entry VM started", zap.String("Zone", string(d.Settings.Zone)))
 	group.Go(func() error { return d.follower.run(workCtx) })
+	group.Go(func() error { return d.observeRuns(workCtx) })
 	group.Go(func() error { return d.receive(workCtx) })
 	group.Go(func() error { return d.checker.run(workCtx) })
 	if d.Settings.LoadReports {
@@ -288,8 +293,12 @@
 	in := make([]byte, bufferSize)
 	out := make([]byte, 0, bufferSize)
 	var p steering.Packet
+	r, err := newPacketReader(d.conn)
+	if err != nil {
+		return &SocketError{Op: "open", Err: err}
+	}
 	for {
-		n, _, err := d.conn.ReadFromUDPAddrPort(in)
+		n, err := r.read(in)
 		if err != nil {
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return nil
@@ -303,6 +312,10 @@
 			continue
 		}
 		now := time.Now()
+		if d.tooOld(&p, r.emptyAt, now) {
+			d.stale.Add(1)
+			continue
+		}
 		if !d.ready.Load() && d.backlog.Hold(&p, b, now) {
 			continue
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,7 @@
 var (
 	packetsDesc       = newDesc("steered_packets_total", "Packets of callers, by the cause of the decision.", "cause")
 	invalidDesc       = newDesc("invalid_packets_total", "Datagrams that are no packet of a caller.")
+	staleDesc         = newDesc("stale_openings_total", "Opening packets dropped because they waited while the process was suspended.")
 	failedSendsDesc   = newDesc("failed_sends_total", "Packets that could not be sent.")
 	flowsDesc         = newDesc("table_flows", "Flows in the table, ended ones included that are still remembered.")
 	suspectedDesc     = newDesc("doubted_targets", "Targets that do not answer this VM.")
@@ -65,7 +66,7 @@
 	opens.Describe(descs)
 	flows.Describe(descs)
 	return []*prometheus.Desc{
-		packetsDesc, invalidDesc, failedSendsDesc, flowsDesc, suspectedDesc, doubtsDesc, lostDesc, overdueDesc, coldDesc, heldDesc, waitingDesc,
+		packetsDesc, invalidDesc, staleDesc, failedSendsDesc, flowsDesc, suspectedDesc, doubtsDesc, lostDesc, overdueDesc, coldDesc, heldDesc, waitingDesc,
 		limitDesc, inFlightDesc, slowDesc, fleetSlotsDesc, fleetInFlightDesc, loadAgeDesc, loadReportsDesc, targetsDesc, numberDesc, catalogAgeDesc,
 		feedAgeDesc, feedsDesc, checksDesc, zonesDesc, evacuatedDesc, leftOutDesc, droppedDesc, <-descs, <-descs,
 	}
@@ -104,6 +105,7 @@
 		counter(packetsDesc, stats.Decisions[cause], string(cause))
 	}
 	counter(invalidDesc, c.d.invalid.Load())
+	counter(staleDesc, c.d.stale.Load())
 	counter(failedSendsDesc, c.d.failedSends.Load())
 	gauge(flowsDesc, float64(stats.Flows))
 	gauge(suspectedDesc, float64(stats.Suspected))
--- /dev/null
+++ b/internal/gateway/read.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bamboowalk.org/bamboowalk/internal/logging"
+	"bamboowalk.org/bamboowalk/pkg/steering"
+)
+
+// runInterval is the time between two calls of steering.Suspension.Observe.
+const runInterval = 50 * time.Millisecond
+
+// packetReader reads packets from a socket and notes when the socket was empty: no packet
+// that is read later arrived before that time.
+type packetReader struct {
+	conn    syscall.RawConn
+	emptyAt time.Time
+
+	// buf, n and err are the arguments and results of tryRead, which is kept as a value
+	// because each read would otherwise allocate it.
+	buf     []byte
+	n       int
+	err     error
+	tryRead func(fd uintptr) bool
+}
+
+func newPacketReader(conn *net.UDPConn) (*packetReader, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	r := &packetReader{conn: raw}
+	r.tryRead = func(fd uintptr) bool {
+		for {
+			r.n, r.err = syscall.Read(int(fd), r.buf)
+			switch r.err {
+			case syscall.EINTR:
+				continue
+			case syscall.EAGAIN:
+				r.emptyAt = time.Now()
+				return false
+			}
+			return true
+		}
+	}
+	return r, nil
+}
+
+// read waits for the next packet and reads it into buf. It returns the error of the socket.
+func (r *packetReader) read(buf []byte) (int, error) {
+	r.buf = buf
+	if err := r.conn.Read(r.tryRead); err != nil {
+		return 0, err
+	}
+	return r.n, r.err
+}
+
+// observeRuns notes regularly that this process runs, until ctx ends.
+func (d *Daemon) observeRuns(ctx context.Context) error {
+	tick := time.NewTicker(runInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			d.observeRun(time.Now())
+		}
+	}
+}
+
+func (d *Daemon) observeRun(now time.Time) {
+	if gap := d.suspension.Observe(now); gap > 0 {
+		d.Log.Info("process did not run", zap.Duration(logging.After, gap), zap.Uint64("Stale", d.stale.Load()))
+	}
+}
+
+// tooOld reports whether an opening packet has waited in the socket for too long, while
+// this process was suspended.
+func (d *Daemon) tooOld(p *steering.Packet, emptyAt, now time.Time) bool {
+	d.observeRun(now)
+	return p.Opening && p.Stale(d.suspension.MaxAge(emptyAt, now))
+}
--- /dev/null
+++ b/internal/gateway/read_test.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bamboowalk.org/bamboowalk/pkg/steering"
+)
+
+// Guards against opening packets that wait in the socket while the process is suspended
+// and are forwarded when it runs again: another VM has forwarded a copy to another target
+// by then. Also guards against the loss of packets that arrive after the suspension.
+func TestOpeningPacketsOfSuspension(t *testing.T) {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	sender, err := net.DialUDP("udp4", nil, conn.LocalAddr().(*net.UDPAddr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sender.Close()
+	r, err := newPacketReader(conn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &Daemon{Log: zap.NewNop()}
+	send := func(n int) {
+		for range n {
+			if _, err := sender.Write([]byte("packet")); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	// later shifts the clock of the daemon: the process does not run for that time.
+	later := time.Duration(0)
+	read := func() (old bool) {
+		n, err := r.read(make([]byte, bufferSize))
+		if err != nil || n != len("packet") {
+			t.Fatalf("read: got %d bytes, %v", n, err)
+		}
+		return d.tooOld(&steering.Packet{Opening: true}, r.emptyAt.Add(later), time.Now().Add(later))
+	}
+	r.emptyAt = time.Now()
+	d.observeRun(time.Now())
+	send(1)
+	if read() {
+		t.Error("packet without a suspension: got too old")
+	}
+	send(3)
+	empty := r.emptyAt
+	later = 3500 * time.Millisecond
+	for i := range 3 {
+		r.emptyAt = empty.Add(-later)
+		if !read() {
+			t.Errorf("packet %d that waited during the suspension: got forwarded", i)
+		}
+	}
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		send(1)
+	}()
+	if read() {
+		t.Error("packet after the suspension: got too old")
+	}
+}
--- a/pkg/steering/backlog.go
+++ b/pkg/steering/backlog.go
@@ -112,10 +112,4 @@
 }
 
 // expired reports whether the packet is no longer worth forwarding.
-func (h *HeldPacket) expired(now time.Time) bool {
-	limit := dataHoldTime
-	if h.Packet.Opening {
-		limit = openingHoldTimes[min(int(h.Packet.Copy), len(openingHoldTimes)-1)]
-	}
-	return now.Sub(h.Arrived) > limit
-}
+func (h *HeldPacket) expired(now time.Time) bool { return h.Packet.Stale(now.Sub(h.Arrived)) }
