feed, steering: a hub that was suspended is not current, and unknown targets reset no flow

Such a hub still said that it is current and complete; entry VMs that chose it dropped the targets that it did not know, and reset their open flows.

Change: after more than a second in which it did not run, a hub counts as after a restart: current only with the full state of a majority, complete after one silence limit or with the complete state of another hub. The check stands before each greeting and update as well as in each tick. A packet of an open flow whose target is not in the view is dropped, as one of an unknown flow with that cookie was already.

TestRestartedHubIsNotCurrent now advances its clock in ticks of 100 ms: a step of 3 s is a suspension by the new rule. It has further checks for suspensions, which failed before. TestFlowOfUnknownTarget; the former code answered with a reset.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -243,7 +243,7 @@
 	s := NewStore(Hub{VM: "a"}, registry.New(3*time.Second, now), now)
 	current := func(want bool, when string) {
 		t.Helper()
-		if got := s.greeting().Current; got != want {
+		if got := s.greeting(now).Current; got != want {
 			t.Errorf("%s: got current %v, want %v", when, got, want)
 		}
 	}
@@ -260,10 +260,45 @@
 	// A hub whose peers are down serves again once targets have announced themselves.
 	s = NewStore(Hub{VM: "a"}, registry.New(3*time.Second, now), now)
 	s.SetHubs([]fleet.VMID{"a", "b", "c"}, true)
-	s.Tick(now.Add(2900 * time.Millisecond))
+	run := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(100 * time.Millisecond)
+			s.Tick(now)
+		}
+	}
+	run(2900 * time.Millisecond)
 	current(false, "before the silence limit")
-	s.Tick(now.Add(3 * time.Second))
+	run(100 * time.Millisecond)
 	current(true, "after the silence limit")
+	// A suspension is like a restart: the hub has missed what happened meanwhile.
+	now = now.Add(2 * time.Second)
+	current(false, "after a suspension, before the next tick")
+	if u := firstUpdate(t, s, now); u.Current || u.Complete {
+		t.Errorf("full state after a suspension: got current %v and complete %v, want neither", u.Current, u.Complete)
+	}
+	if err := s.ApplyUpdate("b", &Update{Full: true, Complete: true}, now); err != nil {
+		t.Fatal(err)
+	}
+	current(true, "with the full state of a majority after a suspension")
+	now = now.Add(2 * time.Second)
+	s.Tick(now)
+	current(false, "after a second suspension")
+	run(3 * time.Second)
+	current(true, "one silence limit after a suspension")
+}
+
+// firstUpdate returns the first update of an entry VM.
+func firstUpdate(t *testing.T, s *Store, now time.Time) *Update {
+	t.Helper()
+	frame, _, err := s.next(&cursor{vm: "e", role: Entry}, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := new(Update)
+	if err := read(bytes.NewReader(frame), u); err != nil {
+		t.Fatal(err)
+	}
+	return u
 }
 
 // Guards against a target that all VMs avoid because a single VM has lost its
--- a/internal/feed/publisher.go
+++ b/internal/feed/publisher.go
@@ -83,7 +83,7 @@
 	if hello.Role == Control {
 		p.Store.setZone(hello.VM, hello.Zone)
 	}
-	if write(timedConn, p.Store.greeting()) != nil {
+	if write(timedConn, p.Store.greeting(time.Now())) != nil {
 		return
 	}
 	// A subscriber that has chosen another publisher closes the connection
--- a/internal/feed/state.go
+++ b/internal/feed/state.go
@@ -119,6 +119,7 @@
 func (s *Store) next(c *cursor, now time.Time) (frame []byte, wait time.Duration, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noticeSuspension(now)
 	f := s.feedOf(c.role)
 	s.seal(f, now)
 	switch {
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -33,6 +33,8 @@
 	hubs      []Hub
 	// zones holds the zone of this hub and of each hub that has sent a Hello.
 	zones map[fleet.VMID]fleet.ZoneID
+	// lastRun is the time at which this process was last known to run.
+	lastRun time.Time
 	// completeAt is the time from which complete is set. It is one silence limit
 	// after the start, so that every live target has had time to announce itself,
 	// or earlier if another hub has sent its full and complete state.
@@ -83,6 +85,7 @@
 		fullFrom:      make(map[fleet.VMID]bool),
 		completeAt:    now.Add(targets.SilenceLimit),
 		settledAt:     now.Add(targets.SilenceLimit),
+		lastRun:       now,
 		entryFeed:     newFeedState(Entry),
 		controlFeed:   newFeedState(Control),
 		connections:   make(map[fleet.VMID]*Hello),
@@ -158,6 +161,24 @@
 	}
 }
 
+// noticeSuspension makes the hub neither current nor complete after a time in which the
+// process did not run, as after a restart: it has missed announcements and their ends,
+// and entry VMs that took its targets for all would reset flows to the others.
+func (s *Store) noticeSuspension(now time.Time) {
+	gap := now.Sub(s.lastRun)
+	if gap > 0 {
+		s.lastRun = now
+	}
+	if gap <= maxTickGap {
+		return
+	}
+	clear(s.fullFrom)
+	s.settled, s.complete = false, false
+	s.settledAt, s.completeAt = now.Add(s.targets.SilenceLimit), now.Add(s.targets.SilenceLimit)
+	s.updateCurrent()
+	s.notify()
+}
+
 // HubOf returns a hub in a zone to which the target id should announce itself: this
 // hub or one whose feed this hub receives. The targets of a zone are distributed
 // over the hubs of the zone. HubOf returns "" if the zone has no such hub.
@@ -299,10 +320,12 @@
 	return slices.Sorted(maps.Keys(s.sources))
 }
 
-// Tick marks silent targets and aggregates the reports of entry VMs.
+// Tick marks silent targets and aggregates the reports of entry VMs. It must be called
+// more often than each maxTickGap.
 func (s *Store) Tick(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noticeSuspension(now)
 	s.aggregateReports()
 	s.aggregateLoad(now)
 	before := s.targets.Version()
@@ -411,9 +434,10 @@
 }
 
 // greeting returns the response to the Hello of a new subscriber.
-func (s *Store) greeting() *Greeting {
+func (s *Store) greeting(now time.Time) *Greeting {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noticeSuspension(now)
 	return &Greeting{Number: s.catalog.Number(), Current: s.current, ZoneRevision: s.zoneOrders.Revision}
 }
 
--- a/pkg/steering/core.go
+++ b/pkg/steering/core.go
@@ -37,7 +37,7 @@
 	CauseNoTarget      Cause = "NoTarget"      // no target of the service accepts new flows
 	CauseNoCookie      Cause = "NoCookie"      // the packet of an unknown flow has no cookie
 	CauseUnknownCookie Cause = "UnknownCookie" // no target has the cookie
-	CauseTargetGone    Cause = "TargetGone"    // the target of the flow is gone, or no longer in the view
+	CauseTargetGone    Cause = "TargetGone"    // the target of the flow is gone
 	CauseEvacuated     Cause = "Evacuated"     // a copy of the opening packet of an open flow whose target takes no new flows by a zone order
 	CauseNoRegion      Cause = "NoRegion"      // no target in the regions of the route accepts new flows
 	CauseOverload      Cause = "Overload"      // the service is overloaded, and no recent request is less urgent
@@ -467,7 +467,12 @@
 		c.endFlow(p.Flow, f, true, now)
 	}
 	t := c.view.targets[f.target]
-	if t == nil || t.State == fleet.TargetGone {
+	switch {
+	case t == nil:
+		// A hub that was suspended or has restarted may not know the target. Silence breaks
+		// no flow; a reset would.
+		return Decision{Op: Drop, Cause: CauseUnknownCookie}
+	case t.State == fleet.TargetGone:
 		return Decision{Op: Reset, Cause: CauseTargetGone}
 	}
 	return Decision{Op: Forward, Cause: CauseFlow, Target: t}
--- a/pkg/steering/lives_test.go
+++ b/pkg/steering/lives_test.go
@@ -51,3 +51,17 @@
 		}
 	}
 }
+
+// Guards against a reset of an open flow whose target the hub does not know, because the
+// hub was suspended or has restarted.
+func TestFlowOfUnknownTarget(t *testing.T) {
+	s, at, _ := lostHarness(t, true, false)
+	for i := range s.records {
+		if s.records[i].Target.ID.Incarnation == at {
+			s.records = append(s.records[:i], s.records[i+1:]...)
+			break
+		}
+	}
+	s.update()
+	s.expect(&Packet{Flow: flowOf(1), Cookie: CookieOf(at), Acknowledged: 1, Data: 10}, Drop, CauseUnknownCookie)
+}
