--- a/pkg/catalog/delta.go
+++ b/pkg/catalog/delta.go
@@ -12,6 +12,10 @@
 // deltas. A receiver with an older catalog gets the full catalog.
 const maxHistory = 128
 
+// maxRemoved is the maximum number of removed routes that a History keeps for receivers
+// with an older catalog.
+const maxRemoved = 1 << 14
+
 type (
 	// Delta contains the changes from catalog From to catalog To. A full delta
 	// contains the whole catalog To and needs no earlier catalog.
@@ -99,13 +103,20 @@
 	return true
 }
 
-// trim limits the retained numbers to maxHistory. It also discards the removed
-// routes that are needed only for deltas from discarded numbers.
+// trim limits the retained numbers to maxHistory, and the removed routes to maxRemoved.
+// It discards the removed routes that are needed only for deltas from discarded numbers.
 func (h *History) trim() {
-	if len(h.retained) <= maxHistory {
-		return
+	if n := len(h.retained) - maxHistory; n > 0 {
+		h.forget(n)
+	}
+	for len(h.removed) > maxRemoved && len(h.retained) > 1 {
+		h.forget((len(h.retained) + 1) / 2)
 	}
-	h.retained = slices.Clone(h.retained[len(h.retained)-maxHistory:])
+}
+
+// forget discards the n oldest retained numbers.
+func (h *History) forget(n int) {
+	h.retained = slices.Clone(h.retained[n:])
 	maps.DeleteFunc(h.removed, func(_ netip.AddrPort, n Number) bool { return n <= h.retained[0] })
 }
 
