hub: one follower of a hub's feed at a time

When a hub left the list of hubs and returned within the time of a closing connection, the follower that ended removed the reports and the source that its successor had recorded. The hub is followed again once the former follower has ended.

--- a/internal/hub/peers.go
+++ b/internal/hub/peers.go
@@ -22,27 +22,41 @@
 // followHubs subscribes to the feeds of all other hubs, so that every hub receives
 // the announcements that targets have sent to any hub.
 func (d *Daemon) followHubs(ctx context.Context) error {
-	running := make(map[fleet.VMID]context.CancelFunc)
+	type follower struct {
+		cancel context.CancelFunc
+		done   chan struct{}
+	}
+	running := make(map[fleet.VMID]*follower)
 	defer func() {
-		for _, cancel := range running {
-			cancel()
+		for _, f := range running {
+			f.cancel()
 		}
 	}()
 	tick := time.NewTicker(peersInterval)
 	defer tick.Stop()
 	for {
 		wanted := d.peers()
+		for id, f := range running {
+			if !wanted[id] {
+				f.cancel()
+			}
+			// A follower that ends removes what its hub has reported, and must not do so
+			// for the next one.
+			select {
+			case <-f.done:
+				delete(running, id)
+			default:
+			}
+		}
 		for id := range wanted {
 			if running[id] == nil {
 				peerCtx, cancel := context.WithCancel(ctx)
-				running[id] = cancel
-				go d.followHub(peerCtx, id)
-			}
-		}
-		for id, cancel := range running {
-			if !wanted[id] {
-				cancel()
-				delete(running, id)
+				f := &follower{cancel, make(chan struct{})}
+				running[id] = f
+				go func() {
+					defer close(f.done)
+					d.followHub(peerCtx, id)
+				}()
 			}
 		}
 		select {
