--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -206,12 +206,12 @@
 	}
 	d.Log.Info("entry VM started", zap.String("Zone", string(d.Settings.Zone)))
 	group.Go(func() error { return d.follower.run(workCtx) })
-	group.Go(func() error { return d.observeRuns(workCtx) })
+	group.Go(func() error { return runTicks(workCtx, runInterval, d.observeRun) })
 	group.Go(func() error { return d.receive(workCtx) })
 	group.Go(func() error { return d.checker.run(workCtx) })
 	if d.Settings.LoadReports {
 		group.Go(func() error { return d.releaseHeld(workCtx) })
-		group.Go(func() error { return d.runDoubts(workCtx) })
+		group.Go(func() error { return runTicks(workCtx, doubtTickInterval, d.lookForDoubts) })
 	}
 	group.Go(func() error {
 		if err := server.Serve(httpListener); !errors.Is(err, http.ErrServerClosed) {
@@ -345,22 +345,12 @@
 	}
 }
 
-// runDoubts looks for unanswered opening packets, and reports doubts that their health
+// lookForDoubts looks for unanswered opening packets, and reports doubts that their health
 // checks have not ended.
-func (d *Daemon) runDoubts(ctx context.Context) error {
-	tick := time.NewTicker(doubtTickInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
-		now := time.Now()
-		d.core.Tick(now)
-		if d.core.ReportDue(now) {
-			d.follower.suspectsChanged()
-		}
+func (d *Daemon) lookForDoubts(now time.Time) {
+	d.core.Tick(now)
+	if d.core.ReportDue(now) {
+		d.follower.suspectsChanged()
 	}
 }
 
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -60,20 +60,21 @@
 	return r.n, r.err
 }
 
-// observeRuns notes regularly that this process runs, until ctx ends.
-func (d *Daemon) observeRuns(ctx context.Context) error {
-	tick := time.NewTicker(runInterval)
+// runTicks calls call at an interval until ctx ends.
+func runTicks(ctx context.Context, interval time.Duration, call func(now time.Time)) error {
+	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
-			d.observeRun(time.Now())
+			call(time.Now())
 		}
 	}
 }
 
+// observeRun notes that this process runs.
 func (d *Daemon) observeRun(now time.Time) {
 	if gap := d.suspension.Observe(now); gap > 0 {
 		d.Log.Info("process did not run", zap.Duration(logging.After, gap), zap.Uint64("Stale", d.stale.Load()))
