replica: missing retained entries are damage, and heartbeats keep to the window

- A segment that ends between two of its retained frames was read as a shorter log.
- A heartbeat carried a batch of entries to a member beyond the limit of unacknowledged ones, 256 KB every 0.1 s, and the limit in bytes did not count entries that the log no longer holds.
The leader counts the bytes that it has sent and that are not acknowledged.

--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -49,6 +49,16 @@
 		round       uint64        // newest round that the member has answered
 		lastContact time.Duration // on the election clock
 		transfer    *snapshotTransfer
+		// inflight holds the batches that the member has not acknowledged, and
+		// inflightBytes is their size.
+		inflight      []sentBatch
+		inflightBytes int
+	}
+
+	// sentBatch is a batch of entries that was sent. last is the index of its last entry.
+	sentBatch struct {
+		last Index
+		size int
 	}
 
 	// snapshotTransfer is a snapshot file that is being sent to one member.
@@ -275,8 +285,9 @@
 		}
 		prev := Position{Index: p.next - 1, Term: r.termAt(p.next - 1)}
 		var entries []Entry
-		if !p.probing {
+		if !p.probing && r.hasWindow(p) {
 			entries = r.batch(p.next)
+			p.recordSent(entries)
 		}
 		r.send(to, Message{Kind: Append, Term: r.hard.Term, To: p.incarnation, Position: prev, Commit: r.commit, Entries: entries, Round: r.round})
 		p.next += Index(len(entries))
@@ -291,19 +302,35 @@
 	p.transfer = nil
 	p.probing = true
 	p.next = max(p.next, r.base.Index+1)
+	p.recordAcknowledged(p.next)
 }
 
 // hasWindow reports whether the entries that a member has not acknowledged leave room for
 // another batch.
 func (r *Replica) hasWindow(p *progress) bool {
-	if p.next > p.match+maxInflight {
-		return false
+	return p.next <= p.match+maxInflight && p.inflightBytes < maxInflightBatches*r.opts.MaxBatch
+}
+
+func (p *progress) recordSent(entries []Entry) {
+	if len(entries) == 0 {
+		return
 	}
-	size := 0
-	for i := max(p.match, r.base.Index) + 1; i < p.next; i++ {
-		size += len(r.entry(i).Data)
+	b := sentBatch{last: entries[len(entries)-1].Index}
+	for i := range entries {
+		b.size += len(entries[i].Data)
+	}
+	p.inflight = append(p.inflight, b)
+	p.inflightBytes += b.size
+}
+
+// recordAcknowledged removes the batches up to an index.
+func (p *progress) recordAcknowledged(upTo Index) {
+	n := 0
+	for n < len(p.inflight) && p.inflight[n].last <= upTo {
+		p.inflightBytes -= p.inflight[n].size
+		n++
 	}
-	return size < maxInflightBatches*r.opts.MaxBatch
+	p.inflight = p.inflight[n:]
 }
 
 // batch returns a copy of the next entries to send, starting with index from:
@@ -385,6 +412,8 @@
 		if m.Position.Index <= p.match || p.probing && m.Position.Index+1 != p.next {
 			return
 		}
+		// What was sent after the conflict is sent again.
+		p.recordAcknowledged(p.next)
 		p.next = max(min(m.ConflictHint, m.Position.Index-1), p.match) + 1
 		p.probing, p.probeNow = true, true
 		return
@@ -394,6 +423,7 @@
 		return
 	}
 	p.match = max(p.match, m.Position.Index)
+	p.recordAcknowledged(p.match)
 	p.next = max(p.next, p.match+1)
 	p.probing = false
 	if p.transfer != nil && p.match >= p.transfer.at.Index {
--- a/pkg/replica/memory_test.go
+++ b/pkg/replica/memory_test.go
@@ -155,6 +155,57 @@
 	c.checkLogs(testMemory / 8)
 }
 
+// Guards against entries that heartbeats send to a member that answers slowly, beyond the
+// limit of unacknowledged ones.
+func TestSlowMember(t *testing.T) {
+	c := newCluster(t)
+	r := c.leader()
+	slow := vmNames[0]
+	if r.self.VM == slow {
+		slow = vmNames[1]
+	}
+	c.propose(1, 1)
+	c.cut[slow] = true
+	before := c.sent[slow]
+	for range 40 {
+		c.propose(1, 400<<10)
+		// The answers to earlier heartbeats keep it active.
+		r.progress[slow].lastContact = r.electionClock
+	}
+	if got, want := c.sent[slow]-before, maxInflightBatches*DefaultMaxBatch+400<<10; got > want {
+		t.Errorf("unacknowledged commands sent to a slow member: got %d bytes, want at most %d", got, want)
+	}
+}
+
+// Guards against retained entries that are missing at the end of a segment, where each
+// frame that is left is whole: they had been durable, unlike a torn tail.
+func TestMissingRetainedEntries(t *testing.T) {
+	var log []Entry
+	for i := Index(2); i <= 10; i++ {
+		log = append(log, Entry{Index: i, Term: 1, Kind: CommandEntry, Data: make([]byte, rewriteBatchBytes/2)})
+	}
+	d := newDisk(rand.New(rand.NewPCG(1, 1)))
+	w := &wal{fs: d, stats: &Stats{}}
+	if err := w.rewrite(Identity{"a", 1}, Position{1, 1}, hardState{Term: 1}, log); err != nil {
+		t.Fatal(err)
+	}
+	data, _ := d.ReadFile(w.name)
+	var ends []int
+	for off := 0; off < len(data); {
+		_, _, size := readFrame(data[off:])
+		off += size
+		ends = append(ends, off)
+	}
+	for i, end := range ends {
+		s, err := decodeWAL(w.name, data[:end])
+		var ce *CorruptError
+		// The last frame is a sync marker.
+		if whole := i >= len(ends)-2; whole && (err != nil || len(s.log) != len(log)) || !whole && !errors.As(err, &ce) {
+			t.Errorf("segment of %d of %d frames: got %v, want a CorruptError %v", i+1, len(ends), err, !whole)
+		}
+	}
+}
+
 // Guards against entries that accumulate while no leader can commit them: the members
 // answer votes, but the leader's entries don't arrive.
 func TestUncommittedCommands(t *testing.T) {
--- a/pkg/replica/wal.go
+++ b/pkg/replica/wal.go
@@ -194,11 +194,12 @@
 func decodeWAL(name string, data []byte) (*walState, error) {
 	s := &walState{}
 	off := 0
-	for seq := uint64(1); off < len(data); seq++ {
+	corrupt := func(reason string) error {
+		return &CorruptError{File: name, Offset: int64(off), Reason: reason}
+	}
+	seq := uint64(1)
+	for ; off < len(data); seq++ {
 		got, payload, size := readFrame(data[off:])
-		corrupt := func(reason string) error {
-			return &CorruptError{File: name, Offset: int64(off), Reason: reason}
-		}
 		switch {
 		case size == 0 && (seq <= s.retained && !isSyncMarker(seq) || off == 0 || wasSynced(data[off:], seq)):
 			return nil, corrupt("synced frame is incomplete or has a wrong checksum")
@@ -218,8 +219,11 @@
 		}
 		off += size
 	}
-	if off == 0 {
-		return nil, &CorruptError{File: name, Reason: "segment is empty"}
+	switch {
+	case off == 0:
+		return nil, corrupt("segment is empty")
+	case seq < s.retained:
+		return nil, corrupt("retained entries are missing")
 	}
 	return s, nil
 }
