--- a/internal/feed/lost.go
+++ b/internal/feed/lost.go
@@ -190,9 +190,9 @@
 	}
 }
 
-// withdrawLost decides again which targets are lost if one of them has been heard. Entry
-// VMs would otherwise get the record of a target that has restarted before they learn
-// that it is no longer lost.
+// withdrawLost decides again which targets are lost if one of them has announced itself.
+// Entry VMs would otherwise get the record of a target that has restarted before they
+// learn that it is no longer lost.
 func (s *Store) withdrawLost(heard []registry.Record, now time.Time) {
 	for i := range heard {
 		if slices.Contains(s.lost.lost, heard[i].Target.ID.Incarnation) {
--- a/internal/hub/bodies.go
+++ b/internal/hub/bodies.go
@@ -33,7 +33,8 @@
 		room *semaphore.Weighted
 	}
 
-	// BusyError reports a call that was refused because too many others are in progress.
+	// BusyError reports a call that was refused because the bodies of calls in progress
+	// leave no room for its body.
 	BusyError struct{}
 )
 
