gateway: the first opening packet after a suspension is not taken for an old one

A reader that waits on an empty socket while the process is suspended does not notice that the socket is still empty when it runs again, and the first opening packet after any suspension was dropped as one that may have waited. The reader looks again now when a suspension ends.

--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -18,6 +20,7 @@
 // packetReader reads packets from a socket and notes when the socket was empty: no packet
 // that is read later arrived before that time.
 type packetReader struct {
+	socket  *net.UDPConn
 	conn    syscall.RawConn
 	emptyAt time.Time
 
@@ -34,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &packetReader{conn: raw}
+	r := &packetReader{socket: conn, conn: raw}
 	r.tryRead = func(fd uintptr) bool {
 		for {
 			r.n, r.err = syscall.Read(int(fd), r.buf)
@@ -54,10 +57,19 @@
 // read waits for the next packet and reads it into buf. It returns the error of the socket.
 func (r *packetReader) read(buf []byte) (int, error) {
 	r.buf = buf
-	if err := r.conn.Read(r.tryRead); err != nil {
-		return 0, err
+	for {
+		err := r.conn.Read(r.tryRead)
+		if err == nil {
+			return r.n, r.err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return 0, err
+		}
+		// observeRun has asked to look again whether the socket is empty.
+		if err := r.socket.SetReadDeadline(time.Time{}); err != nil {
+			return 0, err
+		}
 	}
-	return r.n, r.err
 }
 
 // runTicks calls call at an interval until ctx ends.
@@ -74,11 +86,17 @@
 	}
 }
 
-// observeRun notes that this process runs.
+// observeRun notes that this process runs. After a suspension it makes a reader that waits
+// for packets look again whether the socket is empty: the next packet would otherwise count
+// as one that may have waited during the suspension.
 func (d *Daemon) observeRun(now time.Time) {
-	if gap := d.suspension.Observe(now); gap > 0 {
-		d.Log.Info("process did not run", zap.Duration(logging.After, gap), zap.Uint64("Stale", d.stale.Load()))
+	gap := d.suspension.Observe(now)
+	if gap == 0 {
+		return
 	}
+	d.Log.Info("process did not run", zap.Duration(logging.After, gap), zap.Uint64("Stale", d.stale.Load()))
+	// The error of a closed socket is that of the next read.
+	_ = d.conn.SetReadDeadline(time.Now())
 }
 
 // tooOld reports whether an opening packet has waited in the socket for too long, while
--- a/internal/gateway/read_test.go
+++ b/internal/gateway/read_test.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &Daemon{Log: zap.NewNop()}
+	d := &Daemon{Log: zap.NewNop(), conn: conn}
 	send := func(n int) {
 		for range n {
 			if _, err := sender.Write([]byte("packet")); err != nil {
@@ -68,3 +68,41 @@
 		t.Error("packet after the suspension: got too old")
 	}
 }
+
+// Guards against the first opening packet after a suspension that is dropped although the
+// socket was empty when the process ran again.
+func TestFirstPacketAfterSuspension(t *testing.T) {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	sender, err := net.DialUDP("udp4", nil, conn.LocalAddr().(*net.UDPAddr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sender.Close()
+	r, err := newPacketReader(conn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &Daemon{Log: zap.NewNop(), conn: conn}
+	d.observeRun(time.Now())
+	old := make(chan bool, 1)
+	go func() {
+		if _, err := r.read(make([]byte, bufferSize)); err != nil {
+			t.Error(err)
+		}
+		old <- d.tooOld(&steering.Packet{Opening: true, Copy: 2}, r.emptyAt, time.Now())
+	}()
+	time.Sleep(800 * time.Millisecond) // without a call of observeRun
+	d.observeRun(time.Now())
+	time.Sleep(50 * time.Millisecond)
+	d.observeRun(time.Now())
+	if _, err := sender.Write([]byte("packet")); err != nil {
+		t.Fatal(err)
+	}
+	if <-old {
+		t.Error("first packet after a suspension with an empty socket: got too old")
+	}
+}
