replica: a newcomer reaches the leader through any replica that runs

What callers saw: no leader after a few control VMs had been replaced. The configuration could not be read, and requests were handled by older ones.

Cause: a newcomer asked only its seeds for admission. Only a leader takes the request, and the others dropped it. A newcomer whose seeds did not include the leader ran without a copy of the log, and the voters that it was to replace stayed. Its list of seeds was also fixed when its replica was opened, so replaced seeds in its settings had no effect.

A replica that does not lead answers a request with the replicas that it knows: the members of its config and its own peers. The newcomer asks those as well, until it hears from a leader. Names from answers are not passed on, so that those of VMs that are gone do not circulate. Replaced seeds of a hub become the peers of its replica.

--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -311,6 +311,7 @@
 		ZonesChanged: d.zonesChanged,
 		Failed:       func(err error) { d.Log.Error("log entry can't be decoded or parsed", zap.Error(err)) },
 	}}
+	seeds := d.seeds.Load()
 	r, err := d.openReplica(l.machine, time.Now())
 	if err != nil {
 		return err
@@ -318,6 +319,10 @@
 	l.Replica, l.Send, l.QueueBytes = r, d.transport.Send, d.memory()/replication.QueuePart
 	l.lastAtOpen = r.Stats().LastIndex
 	l.AfterStep = func(time.Time) {
+		if s := d.seeds.Load(); s != seeds {
+			seeds = s
+			r.SetPeers(idsOf(*s))
+		}
 		d.observe(r)
 		l.updateCaughtUp()
 	}
@@ -344,10 +349,9 @@
 		QuorumReads:  true,
 		Memory:       d.memory(),
 	}
+	opts.Peers = idsOf(d.currentSeeds())
 	var members []replica.Member
-	for _, seed := range d.currentSeeds() {
-		id := IDOf(seed)
-		opts.Peers = append(opts.Peers, id)
+	for _, id := range opts.Peers {
 		members = append(members, replica.Member{Identity: replica.Identity{VM: id, Incarnation: firstIncarnation}, Voter: true})
 	}
 	_, err := os.Stat(filepath.Join(d.Settings.Data, damagedDir))
--- a/internal/hub/settings.go
+++ b/internal/hub/settings.go
@@ -48,6 +48,14 @@
 // IDOf returns the ID of the hub whose HTTP interface has the given address.
 func IDOf(http netip.AddrPort) fleet.VMID { return fleet.VMID(http.String()) }
 
+func idsOf(addresses []netip.AddrPort) []fleet.VMID {
+	var ids []fleet.VMID
+	for _, a := range addresses {
+		ids = append(ids, IDOf(a))
+	}
+	return ids
+}
+
 // AddressOf returns the IP address of a hub with the given port, or "" if id is
 // not an IP address and port.
 func AddressOf(id fleet.VMID, port uint16) string {
--- a/pkg/replica/election.go
+++ b/pkg/replica/election.go
@@ -27,6 +27,8 @@
 		r.handleVote(sender, &m)
 	case Join:
 		r.handleJoin(sender)
+	case JoinReply:
+		r.handleJoinReply(&m)
 	case Append, SnapshotChunk, TimeoutNow:
 		r.handleFromLeader(sender, &m)
 	default:
@@ -74,6 +76,7 @@
 		r.becomeFollower(m.Term, from.VM)
 	}
 	r.lastContact = r.electionClock
+	r.namedPeers = nil
 	r.resetElection()
 	if m.Kind == Append {
 		r.handleAppend(from, m)
@@ -247,10 +250,10 @@
 // no effect if this incarnation is already a member.
 func (r *Replica) requestAdmission() {
 	r.lastJoin = r.electionClock
-	peers := slices.Clone(r.opts.Peers)
-	for _, m := range r.config().Members {
-		if !slices.Contains(peers, m.VM) {
-			peers = append(peers, m.VM)
+	peers := r.knownPeers()
+	for _, vm := range r.namedPeers {
+		if !slices.Contains(peers, vm) {
+			peers = append(peers, vm)
 		}
 	}
 	for _, vm := range peers {
@@ -260,8 +263,40 @@
 	}
 }
 
+// knownPeers returns the members of the config and Options.Peers.
+func (r *Replica) knownPeers() []fleet.VMID {
+	var peers []fleet.VMID
+	for _, m := range r.config().Members {
+		peers = append(peers, m.VM)
+	}
+	for _, vm := range r.opts.Peers {
+		if !slices.Contains(peers, vm) {
+			peers = append(peers, vm)
+		}
+	}
+	return peers
+}
+
+// handleJoin records a request for admission, if this replica leads. Otherwise, it
+// tells the sender which replicas this one knows: none of those that the sender
+// knows may lead, or even be a member.
 func (r *Replica) handleJoin(from Identity) {
-	if r.role == roleLeader && from.Incarnation > r.joinRequests[from.VM] {
+	if r.role != roleLeader {
+		peers := r.knownPeers()
+		r.reply(from, Message{Kind: JoinReply, Peers: peers[:min(len(peers), maxPeers)]})
+		return
+	}
+	if from.Incarnation > r.joinRequests[from.VM] {
 		r.joinRequests[from.VM] = from.Incarnation
 	}
 }
+
+// handleJoinReply records the replicas to ask for admission. They are not passed on in
+// turn, so that the name of a replica that is gone does not circulate.
+func (r *Replica) handleJoinReply(m *Message) {
+	for _, vm := range m.Peers {
+		if len(r.namedPeers) < maxPeers && !slices.Contains(r.namedPeers, vm) {
+			r.namedPeers = append(r.namedPeers, vm)
+		}
+	}
+}
--- a/pkg/replica/message.go
+++ b/pkg/replica/message.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"bamboowalk.org/bamboowalk/pkg/fleet"
@@ -21,6 +22,9 @@
 	Join
 	// TimeoutNow asks a follower to start an election at once.
 	TimeoutNow
+	// JoinReply answers a Join that reached a replica which does not lead. It names
+	// the replicas that the sender knows, of which one may lead.
+	JoinReply
 )
 
 // Entry kinds.
@@ -90,6 +94,8 @@
 		Offset uint64 `cbor:"12,keyasint,omitempty"`
 		Total  uint64 `cbor:"13,keyasint,omitempty"`
 		Data   []byte `cbor:"14,keyasint,omitempty"`
+		// Peers is set in a JoinReply.
+		Peers []fleet.VMID `cbor:"15,keyasint,omitempty"`
 	}
 
 	// Envelope is a message with its receiver.
@@ -185,9 +191,12 @@
 	invalid := func(field, reason string) error {
 		return &fleet.FieldError{Type: "Message", Field: field, Reason: reason}
 	}
-	if m.Kind < PreVote || m.Kind > TimeoutNow {
+	if m.Kind < PreVote || m.Kind > JoinReply {
 		return invalid("Kind", "is unknown")
 	}
+	if len(m.Peers) > maxPeers || slices.Contains(m.Peers, "") {
+		return invalid("Peers", "must be non-empty ids, and not more than the limit")
+	}
 	prev := m.Position
 	for i := range m.Entries {
 		e := &m.Entries[i]
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -33,6 +33,9 @@
 	// batches to a follower.
 	maxInflight        = 4096
 	maxInflightBatches = 16
+	// maxPeers is the maximum number of replicas that a JoinReply names, and of those
+	// that a replica asks for admission because a JoinReply has named them.
+	maxPeers = 64
 	// entryOverhead is the size in bytes of an entry beside its data, in memory.
 	entryOverhead = 64
 )
@@ -80,7 +83,8 @@
 		// higher than any earlier incarnation of this replica; the wall clock
 		// in nanoseconds is suitable.
 		Incarnation fleet.Incarnation
-		// Peers lists the replicas that this replica asks for admission.
+		// Peers lists the replicas that this replica asks for admission, besides the
+		// members of its config and the replicas that those name. SetPeers changes it.
 		Peers        []fleet.VMID
 		FS           FS
 		StateMachine StateMachine
@@ -160,8 +164,11 @@
 		lastContact      time.Duration // on the election clock
 		electionDeadline time.Duration
 		lastJoin         time.Duration
-		votes            map[Identity]bool
-		incoming         *incomingSnapshot
+		// namedPeers are the replicas that JoinReply messages have named since a
+		// leader was last heard from.
+		namedPeers []fleet.VMID
+		votes      map[Identity]bool
+		incoming   *incomingSnapshot
 
 		leaderState
 
@@ -295,6 +302,9 @@
 	return nil
 }
 
+// SetPeers replaces Options.Peers.
+func (r *Replica) SetPeers(peers []fleet.VMID) { r.opts.Peers = peers }
+
 // Self returns the VM and incarnation of the replica.
 func (r *Replica) Self() Identity { return r.self }
 
