replica: silent voters are removed down to 2F+1, for a tolerance of F disks

What callers saw: after replacements of control VMs, the loss of two more disks, which the deployment tolerates, left no leader for good.

Cause: a silent voter was removed only if a learner could be promoted at that moment or the number of voters was even. A replacement that was promoted before RemoveAfter made the number odd, and the gone voter kept its vote until the next replacement. The quorum was one of VMs of which some were gone.

The new rule follows from what is not known of a silent voter. It may be gone for good, and is then in the way of every quorum. Or it returns with its disk, and is then needed if others lose theirs. As long as 2F+1 voters are left, the loss of F disks leaves a quorum in the second case, and with it all that is committed. So silent voters are removed while there are more than that, and at 2F+1 a learner is promoted first. If one more loss would stop the log, removal does not wait for RemoveAfter. F is the new setting Tolerance of a hub, which the platform fills in.

Safety is unchanged: consecutive configs differ by one voter, each is committed by a quorum before the next, and no quorum is lowered.

--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -55,9 +55,7 @@
 	reopenDelay = 500 * time.Millisecond
 	// removeAfter is the time without contact after which the leader may remove a
 	// member from the log. It is longer than a restart, so that a restarted member
-	// is not removed. The leader removes a voter
-	// only if a learner can replace it, or if the removal changes the number of
-	// voters from an even number above two to an odd one.
+	// is not removed.
 	removeAfter = 3 * time.Second
 	// tickInterval is the time between two checks for silent targets, and between
 	// two aggregations of the entry VMs' reports.
@@ -346,6 +344,7 @@
 		Rand:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		AutoAdmit:    true,
 		RemoveAfter:  removeAfter,
+		Tolerance:    d.Settings.Tolerance,
 		QuorumReads:  true,
 		Memory:       d.memory(),
 	}
--- a/internal/hub/settings.go
+++ b/internal/hub/settings.go
@@ -27,6 +27,9 @@
 	Feed, Replication uint16
 	// Data is the directory of the log and of the cache file.
 	Data string
+	// Tolerance is the number of hubs that may lose their disks at the same time, 1 if
+	// it is less.
+	Tolerance int
 	// Memory is the memory of the VM in bytes, 0 if it is not known. The limits of the
 	// log, of queues and of requests in progress follow from it.
 	Memory int
--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -271,30 +271,54 @@
 	return !m.Voter && p != nil && p.match >= max(r.commitAtCheck, r.noopIndex) && r.recentlyActive(m.Identity)
 }
 
-// removableMember returns a removable member, or "" if there is none. A learner
-// is removable after a silence of RemoveAfter. A voter is removable after the
-// same silence, but only if a promotable learner can replace it, or if the number
-// of voters is even and above two: then one voter fewer tolerates as many
-// failures. A voter is removed before the learner that replaces it is promoted,
-// so that quorums consist of replicas that are known to run.
+// removableMember returns a removable member, or "" if there is none. A member is
+// removable after a silence of RemoveAfter, and a voter already after ElectionTimeout if
+// the loss of one more voter would stop the log.
+//
+// A silent voter may be gone for good, and would then count against every quorum. Or
+// it may come back with its disk, and is then needed if others lose theirs. With at
+// least 2*Tolerance+1 voters, the loss of any Tolerance disks leaves a quorum in the
+// second case, and one that holds every committed entry. More voters than that are kept
+// only while they answer.
 func (r *Replica) removableMember() fleet.VMID {
 	if r.opts.RemoveAfter == 0 {
 		return ""
 	}
 	c := r.config()
-	voters := c.voters()
-	hasPromotable := slices.ContainsFunc(c.Members, func(m Member) bool { return r.promotable(&m) })
-	keepVoters := !hasPromotable && (len(voters)%2 == 1 || len(voters) == 2)
+	keepVoters := len(c.voters()) <= 2*r.opts.Tolerance+1
+	voterLimit := r.opts.RemoveAfter
+	if r.spareVoters() < 1 {
+		voterLimit = min(voterLimit, r.opts.ElectionTimeout)
+	}
 	for _, m := range c.Members {
 		p := r.progressOf(m.Identity)
-		unreachable := m.Identity != r.self && p != nil && r.electionClock-p.lastContact >= r.opts.RemoveAfter
-		if unreachable && !(m.Voter && keepVoters) {
+		if m.Identity == r.self || p == nil || m.Voter && keepVoters {
+			continue
+		}
+		limit := r.opts.RemoveAfter
+		if m.Voter {
+			limit = voterLimit
+		}
+		if r.electionClock-p.lastContact >= limit {
 			return m.VM
 		}
 	}
 	return ""
 }
 
+// spareVoters returns the number of voters that may still be lost before no quorum of
+// recently active voters is left.
+func (r *Replica) spareVoters() int {
+	voters := r.config().voters()
+	active := 0
+	for _, id := range voters {
+		if r.recentlyActive(id) {
+			active++
+		}
+	}
+	return active - len(voters)/2 - 1
+}
+
 // syncedVoters returns the number of voters whose durable log holds the newest
 // config. It returns 0 if this replica does not lead, or if the newest config
 // or the first entry of the leader's term is not yet committed.
--- a/pkg/replica/members_test.go
+++ b/pkg/replica/members_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -18,12 +19,13 @@
 	opts     Options
 	disks    map[fleet.VMID]*disk
 	replicas map[fleet.VMID]*Replica // those that run
+	cut      map[fleet.VMID]bool
 }
 
 // newMemberCluster starts a log with three initial members, and admits the other VMs.
 func newMemberCluster(t *testing.T, opts Options, vms ...fleet.VMID) *memberCluster {
 	c := &memberCluster{
-		t: t, now: time.Unix(1e9, 0), opts: opts, disks: map[fleet.VMID]*disk{}, replicas: map[fleet.VMID]*Replica{},
+		t: t, now: time.Unix(1e9, 0), opts: opts, disks: map[fleet.VMID]*disk{}, replicas: map[fleet.VMID]*Replica{}, cut: map[fleet.VMID]bool{},
 	}
 	c.opts.AutoAdmit, c.opts.QuorumReads = true, true
 	first := voters(vms[:3])
@@ -56,12 +58,35 @@
 	c.replicas[vm] = r
 }
 
+// lose ends the process of a VM and loses its disk.
+func (c *memberCluster) lose(vms ...fleet.VMID) {
+	for _, vm := range vms {
+		delete(c.replicas, vm)
+		delete(c.disks, vm)
+	}
+}
+
+// losePower ends all processes, of which those in lost lose their disks, and starts them
+// again.
+func (c *memberCluster) losePower(lost ...fleet.VMID) {
+	running := slices.Sorted(maps.Keys(c.replicas))
+	for _, vm := range running {
+		delete(c.replicas, vm)
+		c.disks[vm].crash()
+	}
+	c.lose(lost...)
+	c.now = c.now.Add(1300 * time.Millisecond)
+	for _, vm := range running {
+		c.start(vm, running[:3]...)
+	}
+}
+
 func (c *memberCluster) deliver(from fleet.VMID, out Output) {
 	if out.Err != nil {
 		c.t.Fatalf("%s stopped: %v", from, out.Err)
 	}
 	for _, e := range out.Envelopes {
-		if r := c.replicas[e.To]; r != nil {
+		if r := c.replicas[e.To]; r != nil && !c.cut[from] && !c.cut[e.To] {
 			c.deliver(e.To, r.Handle(from, e.Message, c.now))
 		}
 	}
@@ -83,14 +108,33 @@
 func (c *memberCluster) leader() *Replica {
 	var newest *Replica
 	for _, vm := range slices.Sorted(maps.Keys(c.replicas)) {
-		if r := c.replicas[vm]; r.role == roleLeader && (newest == nil || r.hard.Term > newest.hard.Term) {
+		if r := c.replicas[vm]; r.role == roleLeader && !c.cut[vm] && (newest == nil || r.hard.Term > newest.hard.Term) {
 			newest = r
 		}
 	}
 	return newest
 }
 
-// checkMembers reports voters that do not run, and running replicas that do not vote.
+// propose commits a command and returns its index.
+func (c *memberCluster) propose() Index {
+	c.t.Helper()
+	r := c.leader()
+	if r == nil {
+		c.t.Fatal("no leader")
+	}
+	if _, err := r.Propose([]byte("x"), c.now); err != nil {
+		c.t.Fatal(err)
+	}
+	index := r.lastIndex()
+	c.deliver(r.self.VM, r.Flush(c.now))
+	if r.commit < index {
+		c.t.Fatalf("command at %d is not committed by %+v", index, r.Members())
+	}
+	return index
+}
+
+// checkMembers reports voters that do not run, running replicas that do not vote, and
+// too few voters for the loss of further ones.
 func (c *memberCluster) checkMembers(when string) {
 	c.t.Helper()
 	l := c.leader()
@@ -110,15 +154,57 @@
 	if !slices.Equal(got, want) {
 		c.t.Errorf("%s: got voters %v, want %v", when, got, want)
 	}
+	if spare := l.spareVoters(); spare < c.opts.Tolerance {
+		c.t.Errorf("%s: got %d voters that may be lost, want %d", when, spare, c.opts.Tolerance)
+	}
+}
+
+// checkRecovery reports a log that has no leader, or has lost an entry, after the given
+// time.
+func (c *memberCluster) checkRecovery(when string, index Index) {
+	c.t.Helper()
+	c.run(5 * time.Second)
+	l := c.leader()
+	switch {
+	case l == nil:
+		c.t.Errorf("%s: got no leader, want one", when)
+	case l.commit < index:
+		c.t.Errorf("%s: got commit index %d, want at least %d", when, l.commit, index)
+	}
 }
 
 // sixVMs tolerate the loss of two disks.
 var sixVMs = []fleet.VMID{"a1", "b1", "c1", "a2", "b2", "c2"}
 
+// Guards against voters that are gone and still count: each replacement then leaves the
+// log with fewer losses that it tolerates, until there is no leader.
+func TestReplacedOneByOne(t *testing.T) {
+	for _, pause := range []time.Duration{500 * time.Millisecond, 1600 * time.Millisecond, 5 * time.Second} {
+		t.Run(pause.String(), func(t *testing.T) {
+			c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 2}, sixVMs...)
+			c.checkMembers("at the start")
+			running := slices.Clone(sixVMs)
+			for i := range 12 {
+				c.propose()
+				c.lose(running[0])
+				c.run(pause)
+				vm := fleet.VMID(fmt.Sprint("n", i))
+				running = append(running[1:], vm)
+				c.start(vm, running[:3]...)
+				c.run(6 * time.Second)
+				c.checkMembers(fmt.Sprint("after replacement ", i))
+			}
+			index := c.propose()
+			c.losePower(running[4], running[5])
+			c.checkRecovery("after the loss of two disks", index)
+		})
+	}
+}
+
 // Guards against a newcomer that is not admitted because none of its seeds leads, or
 // none is a member itself.
 func TestSeedsWithoutLeader(t *testing.T) {
-	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second}, sixVMs...)
+	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 2}, sixVMs...)
 	var followers []fleet.VMID
 	for _, vm := range sixVMs {
 		if vm != c.leader().self.VM {
@@ -138,10 +224,84 @@
 // Guards against a newcomer that keeps to the seeds of its start after they have been
 // replaced in its settings.
 func TestReplacedSeeds(t *testing.T) {
-	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second}, sixVMs...)
+	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 2}, sixVMs...)
 	c.start("x", "gone1", "gone2", "gone3")
 	c.run(2 * time.Second)
 	c.replicas["x"].SetPeers([]fleet.VMID{"a1"})
 	c.run(3 * time.Second)
 	c.checkMembers("after new seeds")
 }
+
+// Guards against quorums of VMs that are gone, when VMs are replaced faster than silent
+// voters are usually removed. Without a change of the leader, each VM may be lost as soon
+// as the one before it has been replaced.
+func TestReplacedFasterThanRemoved(t *testing.T) {
+	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 2}, sixVMs...)
+	running := slices.Clone(sixVMs)
+	for i := range 30 {
+		if running[0] == c.leader().self.VM {
+			running[0], running[1] = running[1], running[0]
+		}
+		vm := fleet.VMID(fmt.Sprint("n", i))
+		c.lose(running[0])
+		running = append(running[1:], vm)
+		c.start(vm, running[1:4]...)
+		c.run(time.Second)
+		c.propose()
+	}
+	c.run(5 * time.Second)
+	c.checkMembers("after 30 replacements")
+}
+
+// Guards against a log that does not bear the loss of two VMs at once, of which one may
+// lead, as soon as their predecessors have been replaced.
+func TestReplacedInPairs(t *testing.T) {
+	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 2}, sixVMs...)
+	running := slices.Clone(sixVMs)
+	for i := range 30 {
+		leader := c.leader().self.VM
+		if at := slices.Index(running, leader); at > 1 && i%2 == 0 {
+			running[0], running[at] = running[at], running[0]
+		}
+		index := c.propose()
+		c.lose(running[0], running[1])
+		running = running[2:]
+		c.run(1600 * time.Millisecond)
+		for j := range 2 {
+			vm := fleet.VMID(fmt.Sprint("n", 2*i+j))
+			running = append(running, vm)
+			c.start(vm, running[:3]...)
+		}
+		c.run(6 * time.Second)
+		c.checkMembers(fmt.Sprint("after pair ", i))
+		if got := c.leader().commit; got < index {
+			t.Errorf("commit index after pair %d: got %d, want at least %d", i, got, index)
+		}
+	}
+}
+
+// Guards against the removal of voters that are only cut off: they are needed when
+// others lose their disks during the cut.
+func TestDisksLostDuringCut(t *testing.T) {
+	for i := range sixVMs {
+		for j := range i {
+			c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 2}, sixVMs...)
+			for _, vm := range []fleet.VMID{sixVMs[i], sixVMs[j]} {
+				c.cut[vm] = true
+			}
+			c.run(10 * time.Second)
+			index := c.propose()
+			var lost []fleet.VMID
+			for _, vm := range sixVMs {
+				if !c.cut[vm] {
+					lost = append(lost, vm)
+				}
+			}
+			c.losePower(lost[:2]...)
+			clear(c.cut)
+			c.checkRecovery(fmt.Sprintf("%s and %s cut off, %v lost", sixVMs[i], sixVMs[j], lost[:2]), index)
+			c.run(5 * time.Second)
+			c.checkMembers(fmt.Sprintf("%s and %s cut off, %v lost", sixVMs[i], sixVMs[j], lost[:2]))
+		}
+	}
+}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -106,11 +106,13 @@
 		// ChangeMembership.
 		AutoAdmit bool
 		// RemoveAfter is the time without contact after which the leader
-		// removes a member; 0 disables removal. A voter is removed only if a
-		// learner can replace it, or if the removal leaves an odd number of
-		// voters, at least three. A removed replica must be admitted again when
-		// it returns, so RemoveAfter needs AutoAdmit.
+		// removes a member; 0 disables removal. A removed replica must be admitted
+		// again when it returns, so RemoveAfter needs AutoAdmit.
 		RemoveAfter time.Duration
+		// Tolerance is the number of replicas that may lose their disks at the same
+		// time, 1 if it is less. Voters are removed only while more than
+		// 2*Tolerance+1 are left, since a silent voter may still have its disk.
+		Tolerance int
 		// QuorumReads makes each read wait for a heartbeat round answered by a
 		// quorum. It is needed where the clock may stop while a machine is
 		// suspended: after the machine resumes, an expired lease would look valid.
@@ -211,6 +213,7 @@
 	o.MaxPending = cmp.Or(o.MaxPending, o.Memory/maxPendingPart)
 	o.MaxBatch = cmp.Or(o.MaxBatch, DefaultMaxBatch)
 	o.ChunkSize = cmp.Or(o.ChunkSize, DefaultChunkSize)
+	o.Tolerance = max(o.Tolerance, 1)
 }
 
 func (r *Replica) load() error {
