replica: a VM whose clock was ahead is admitted again after it lost its disk

What callers would see: with three control VMs, one of them stays without a vote for as long as its clock was ahead, and the next loss leaves no leader.

Cause: an incarnation is the time of day at the start without a log. The leader replaced an incarnation only by a higher one. If the disk was lost while the clock was ahead, and again after the clock had been set back, the present incarnation was lower, and its requests had no effect.

Evidence: TestClockAheadBeforeDiskLost on: 0 voters that may be lost where 1 is wanted, and no leader after the loss of another disk.

A request of any other incarnation is now taken if the member has been silent for RemoveAfter. A late request of an earlier incarnation can at most make the VM a learner for a moment: incarnations are never used again, so no vote or acknowledgement counts twice. A reply of the member withdraws such a request.

--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -231,7 +231,7 @@
 }
 
 // manageMembers proposes at most one change: the removal of an unreachable
-// member, the replacement of a member by a learner with the new incarnation of
+// member, the replacement of a member by a learner with another incarnation of
 // the same VM, the promotion of a learner, or the admission of a new replica.
 // Whether a learner can be promoted is decided from its match index (see
 // promotable): the entries up to that index are durable at the learner, because
@@ -243,7 +243,8 @@
 		return
 	}
 	for _, m := range c.Members {
-		if inc := r.joinRequests[m.VM]; inc > m.Incarnation && m.VM != r.self.VM {
+		inc := r.joinRequests[m.VM]
+		if m.VM != r.self.VM && (inc > m.Incarnation || inc > 0 && r.isLost(Identity{VM: m.VM, Incarnation: inc})) {
 			r.proposeInternalChange(m.VM, c.withMember(Member{Identity: Identity{VM: m.VM, Incarnation: inc}}))
 			return
 		}
--- a/pkg/replica/election.go
+++ b/pkg/replica/election.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -8,6 +9,10 @@
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
+// lostAfter is the default of Options.RemoveAfter in isLost, in multiples of
+// ElectionTimeout.
+const lostAfter = 3
+
 // Step processes one message. The next Flush returns the resulting output.
 func (r *Replica) Step(from fleet.VMID, m Message, now time.Time) {
 	r.advanceClocks(now)
@@ -286,11 +291,23 @@
 		r.reply(from, Message{Kind: JoinReply, Peers: peers[:min(len(peers), maxPeers)]})
 		return
 	}
-	if from.Incarnation > r.joinRequests[from.VM] {
+	if from.Incarnation > r.joinRequests[from.VM] || r.isLost(from) {
 		r.joinRequests[from.VM] = from.Incarnation
 	}
 }
 
+// isLost reports whether another incarnation of the same VM is a member and has been
+// silent for so long that it does not run any more. Its number may be higher than that
+// of the present incarnation, if the clock of the VM was ahead.
+func (r *Replica) isLost(from Identity) bool {
+	m := r.config().find(from.VM)
+	if m == nil || m.Incarnation == from.Incarnation {
+		return false
+	}
+	p := r.progressOf(m.Identity)
+	return p != nil && r.electionClock-p.lastContact >= cmp.Or(r.opts.RemoveAfter, lostAfter*r.opts.ElectionTimeout)
+}
+
 // handleJoinReply records the replicas to ask for admission. They are not passed on in
 // turn, so that the name of a replica that is gone does not circulate.
 func (r *Replica) handleJoinReply(m *Message) {
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -398,6 +398,10 @@
 	}
 	p.lastContact = r.electionClock
 	p.round = max(p.round, m.Round)
+	if r.joinRequests[from.VM] < from.Incarnation {
+		// The request is from an incarnation that this one has replaced.
+		delete(r.joinRequests, from.VM)
+	}
 	return p
 }
 
--- a/pkg/replica/members_test.go
+++ b/pkg/replica/members_test.go
@@ -305,3 +305,23 @@
 		}
 	}
 }
+
+// Guards against a VM that is never admitted again because it had an incarnation from a
+// clock that was ahead, and lost its disk after the clock was set back.
+func TestClockAheadBeforeDiskLost(t *testing.T) {
+	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 1}, "a", "b", "c")
+	index := c.propose()
+	for _, offset := range []time.Duration{40 * time.Minute, 0} {
+		c.lose("a")
+		now := c.now
+		c.now = now.Add(offset)
+		c.start("a", "b", "c")
+		c.now = now
+		// The clock of the replica must not go back with the wall clock.
+		c.replicas["a"].lastCall = now
+		c.run(6 * time.Second)
+		c.checkMembers(fmt.Sprint("clock ahead by ", offset))
+	}
+	c.losePower("b")
+	c.checkRecovery("after the loss of another disk", index)
+}
