hub: the log begins with the members of the first start

What callers would see: a control VM that does not take part, and one loss less that the others bear.

Cause: a first start that could not write the log, because the disk was full, was repeated with the seeds in force by then. Seeds that had been replaced meanwhile became the initial members of that VM's log.

Evidence: TestSeedsReplacedBeforeLogIsWritten without the fix: members: got 127.0.0.1, .8 and .9, want 127.0.0.1, .2 and .3

The initial members are the seeds of the settings at the start of the process. Replaced seeds are only asked for admission.

--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -349,13 +349,15 @@
 		Memory:       d.memory(),
 	}
 	opts.Peers = idsOf(d.currentSeeds())
+	// The initial members are those of the first start, also if the seeds have been
+	// replaced before this hub could write its log.
 	var members []replica.Member
-	for _, id := range opts.Peers {
+	for _, id := range idsOf(d.Settings.Seeds) {
 		members = append(members, replica.Member{Identity: replica.Identity{VM: id, Incarnation: firstIncarnation}, Voter: true})
 	}
 	_, err := os.Stat(filepath.Join(d.Settings.Data, damagedDir))
 	damaged := err == nil
-	if d.Settings.First && !damaged && slices.Contains(opts.Peers, opts.Self) {
+	if d.Settings.First && !damaged && slices.Contains(idsOf(d.Settings.Seeds), opts.Self) {
 		err := replica.Bootstrap(fs, replica.Identity{VM: opts.Self, Incarnation: firstIncarnation}, members)
 		var notEmpty *replica.NotEmptyError
 		if err != nil && !errors.As(err, &notEmpty) {
--- a/internal/hub/disk_test.go
+++ b/internal/hub/disk_test.go
@@ -1,14 +1,18 @@
 package hub
 
 import (
+	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
 	"bamboowalk.org/bamboowalk/internal/fakedisk"
 	"bamboowalk.org/bamboowalk/internal/feed"
+	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/registry"
 )
 
@@ -94,3 +98,34 @@
 	}
 	c.get(4, 0, 1, 2)
 }
+
+// Guards against a log that begins with other members than those of the first start,
+// because the seeds were replaced before a full disk had room for the log.
+func TestSeedsReplacedBeforeLogIsWritten(t *testing.T) {
+	c := newCluster(t, 3)
+	for range c.seeds {
+		c.disks = append(c.disks, new(fakedisk.Disk))
+	}
+	c.disks[0].SetFull(true)
+	c.startAll(true)
+	c.put(1, 1, 2)
+	c.hubs[0].SetSeeds([]netip.AddrPort{c.address(0), c.address(7), c.address(8)})
+	c.hubs[1].stop()
+	c.hubs[2].stop()
+	c.disks[0].SetFull(false)
+	c.eventually("log of the first hub", func() error {
+		if len(c.hubs[0].store.Hubs()) == 0 {
+			return errors.New("the replica is down")
+		}
+		return nil
+	})
+	var got []fleet.VMID
+	for _, h := range c.hubs[0].store.Hubs() {
+		got = append(got, h.VM)
+	}
+	if want := idsOf(c.seeds); !slices.Equal(got, want) {
+		t.Errorf("members: got %v, want %v", got, want)
+	}
+	c.start(1, false)
+	c.put(2, 0, 1)
+}
