replica: the election clock keeps time on processors with a quota

What callers saw: "no leader is known" for many seconds after all control VMs had lost power. This cause is suspected, not shown, for the users' machines.

Cause: the election clock advances by 25 ms a call at most. A process that runs each 100 ms, as with a quota of processor time, needs four times as long for an election, for the admission of a newcomer and for the removal of a silent voter.

Evidence: TestElectionOnSlowProcessors without the change: no leader 5 s after two of six losses of power.

The limit protects leases: a clock that jumps ahead must not let a voter vote early. Where reads wait for a quorum (Options.QuorumReads, as on the users' platform), there are no leases, and the limit is 100 ms. A process that was suspended still counts at most 100 ms of that time as silence of the others.

--- a/pkg/replica/doc.go
+++ b/pkg/replica/doc.go
@@ -52,7 +52,10 @@
 // clock that jumps ahead or a process that was suspended does not cut that
 // period short. The caller must call Tick every 2 % of ElectionTimeout (20 ms
 // by default). That is below the limit of 2.5 % (25 ms by default), so the
-// election clock does not run too slowly. The stamp of an entry is the time of
+// election clock does not run too slowly. With Options.QuorumReads, the limit is
+// 10 %, so that it does not run too slowly either on a processor that runs the
+// process only every 100 ms: without leases, that period is not needed for safety.
+// The stamp of an entry is the time of
 // the leader's wall clock, but not less than the stamp before it. If the clock
 // of a leader was ahead, later stamps stay constant until the wall clock
 // catches up.
--- a/pkg/replica/members_test.go
+++ b/pkg/replica/members_test.go
@@ -20,12 +20,14 @@
 	disks    map[fleet.VMID]*disk
 	replicas map[fleet.VMID]*Replica // those that run
 	cut      map[fleet.VMID]bool
+	interval time.Duration // between two calls of Tick
 }
 
 // newMemberCluster starts a log with three initial members, and admits the other VMs.
 func newMemberCluster(t *testing.T, opts Options, vms ...fleet.VMID) *memberCluster {
 	c := &memberCluster{
 		t: t, now: time.Unix(1e9, 0), opts: opts, disks: map[fleet.VMID]*disk{}, replicas: map[fleet.VMID]*Replica{}, cut: map[fleet.VMID]bool{},
+		interval: 20 * time.Millisecond,
 	}
 	c.opts.AutoAdmit, c.opts.QuorumReads = true, true
 	first := voters(vms[:3])
@@ -92,10 +94,10 @@
 	}
 }
 
-// run advances the time in steps of one tick.
+// run advances the time in steps of the interval.
 func (c *memberCluster) run(d time.Duration) {
 	for end := c.now.Add(d); c.now.Before(end); {
-		c.now = c.now.Add(20 * time.Millisecond)
+		c.now = c.now.Add(c.interval)
 		for _, vm := range slices.Sorted(maps.Keys(c.replicas)) {
 			if r := c.replicas[vm]; r != nil {
 				c.deliver(vm, r.Tick(c.now))
@@ -325,3 +327,17 @@
 	c.losePower("b")
 	c.checkRecovery("after the loss of another disk", index)
 }
+
+// Guards against elections that take a multiple of their time where the processor runs
+// the replicas at long intervals only.
+func TestElectionOnSlowProcessors(t *testing.T) {
+	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 2}, sixVMs...)
+	c.interval = 100 * time.Millisecond
+	for i := range sixVMs {
+		index := c.propose()
+		c.losePower(sixVMs[i], sixVMs[(i+1)%len(sixVMs)])
+		c.checkRecovery(fmt.Sprint("loss of power ", i), index)
+		c.run(5 * time.Second)
+		c.checkMembers(fmt.Sprint("loss of power ", i))
+	}
+}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -418,6 +418,10 @@
 	d := now.Sub(r.lastCall)
 	r.lastCall = now
 	limit := r.opts.ElectionTimeout / 40
+	if r.opts.QuorumReads {
+		// Without leases, no read depends on the time for which votes are withheld.
+		limit = r.opts.ElectionTimeout / 10
+	}
 	switch {
 	case d < 0:
 		r.stats.ClockStepsBack++
