replica: a learner that hears from no leader names none

What callers would see: entry VMs that follow the hub of a learner obey its state as current although it hears from no majority, and operators are redirected to a leader that is gone.

Cause: a voter forgets its leader when its election timeout ends. A learner holds no elections, and kept the leader for good. A newcomer, or a VM that came back with an empty disk, is a learner when it loses the leader.

Evidence: TestLearnerWithoutLeader without the change: leader of a learner that is cut off: got a1, want none.

A learner now forgets its leader after ElectionTimeout without a message.

--- a/pkg/replica/election.go
+++ b/pkg/replica/election.go
@@ -244,11 +244,13 @@
 // heard from the leader within the last ElectionTimeout. The requests are at least half
 // an ElectionTimeout apart.
 func (r *Replica) tickLearner() {
-	leaderActive := r.leader != "" && r.electionClock-r.lastContact < r.opts.ElectionTimeout
-	if leaderActive || r.electionClock-r.lastJoin < r.opts.ElectionTimeout/2 {
+	if r.leader != "" && r.electionClock-r.lastContact < r.opts.ElectionTimeout {
 		return
 	}
-	r.requestAdmission()
+	r.leader = ""
+	if r.electionClock-r.lastJoin >= r.opts.ElectionTimeout/2 {
+		r.requestAdmission()
+	}
 }
 
 // requestAdmission sends a Join message to all known replicas. The message has
--- a/pkg/replica/members_test.go
+++ b/pkg/replica/members_test.go
@@ -341,3 +341,24 @@
 		c.checkMembers(fmt.Sprint("loss of power ", i))
 	}
 }
+
+// Guards against a learner that names a leader of which it has not heard for long: its
+// hub would take its state for current.
+func TestLearnerWithoutLeader(t *testing.T) {
+	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 2}, sixVMs...)
+	c.start("x", "a1")
+	for c.replicas["x"].Leader() == "" {
+		c.run(20 * time.Millisecond)
+	}
+	if got := c.replicas["x"].Role(); got != "Learner" {
+		t.Fatalf("role: got %s, want Learner", got)
+	}
+	c.cut["x"] = true
+	c.run(2 * time.Second)
+	if got := c.replicas["x"].Leader(); got != "" {
+		t.Errorf("leader of a learner that is cut off: got %s, want none", got)
+	}
+	c.cut["x"] = false
+	c.run(3 * time.Second)
+	c.checkMembers("after the cut")
+}
