hub: the name of the saved state is durable

What callers would see: after a loss of power, requests are handled by a configuration that is older than the saved state was meant to be, until a hub is current again.

Cause: the file "published" was written, synced and renamed, but its directory was never synced. A loss of power may undo all renames since the last sync of their directory, so the name could stand for the state of any earlier write, or for none. The comment that the previous file remains held for one rename only.

Evidence: TestSavedStateSurvivesLossOfPower without the fix, after three documents have been saved one after the other: after a loss of power: open .../published: no such file or directory

The saved state is now at most one write old.

--- a/internal/hub/cache.go
+++ b/internal/hub/cache.go
@@ -100,8 +100,9 @@
 	if err := errors.Join(err, f.Close()); err != nil {
 		return &CacheError{Op: "write", Err: err}
 	}
-	// If a loss of power undoes the rename, the previous file remains.
-	if err := files.Rename(temp, cacheFile); err != nil {
+	// A loss of power may undo all renames since the last sync of the directory. If it
+	// undoes this one, the previous file remains.
+	if err := errors.Join(files.Rename(temp, cacheFile), files.SyncDir()); err != nil {
 		return &CacheError{Op: "rename", Err: err}
 	}
 	return nil
--- a/internal/hub/disk_test.go
+++ b/internal/hub/disk_test.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,6 +16,7 @@
 	"bamboowalk.org/bamboowalk/internal/feed"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/registry"
+	"bamboowalk.org/bamboowalk/pkg/replica"
 )
 
 // Guards against a hub whose disk was full and that does not take part any more once there
@@ -56,17 +59,7 @@
 	}
 	c.get(n, 0, 1, 2)
 	for i := range c.seeds {
-		c.eventually("saved state", func() error {
-			store := feed.NewStore(feed.Hub{}, registry.New(time.Second, time.Now()), time.Now())
-			b, err := os.ReadFile(filepath.Join(c.data(i), cacheFile))
-			if err != nil {
-				return err
-			}
-			if err := store.Restore(b, time.Now()); err != nil || int(store.Number()) != n {
-				return fmt.Errorf("saved state of hub %d: document %d, %v, want %d", i, store.Number(), err, n)
-			}
-			return nil
-		})
+		c.eventually("saved state", func() error { return c.checkSaved(i, n) })
 	}
 }
 
@@ -129,3 +122,93 @@
 	c.start(1, false)
 	c.put(2, 0, 1)
 }
+
+// nameLosingDisk is a disk that can undo all renames since the last sync of their
+// directory, as a loss of power may do.
+type nameLosingDisk struct {
+	mu sync.Mutex
+	// undo restores, for each renamed file of a directory, the content that its new name
+	// durably had; nil stands for a name that did not exist.
+	undo map[string][]byte
+}
+
+type nameLosingDir struct {
+	replica.FS
+	path string
+	disk *nameLosingDisk
+}
+
+func (d *nameLosingDisk) open(dir string) replica.FS {
+	return &nameLosingDir{replica.DirFS(dir), dir, d}
+}
+
+// Rename renames a file, which is durable after SyncDir.
+func (d *nameLosingDir) Rename(from, to string) error {
+	d.disk.mu.Lock()
+	defer d.disk.mu.Unlock()
+	name := filepath.Join(d.path, to)
+	if _, ok := d.disk.undo[name]; !ok {
+		b, err := os.ReadFile(name)
+		if err != nil && !errors.Is(err, os.ErrNotExist) {
+			return err
+		}
+		d.disk.undo[name] = b
+	}
+	return d.FS.Rename(from, to)
+}
+
+// SyncDir makes the renames in the directory durable.
+func (d *nameLosingDir) SyncDir() error {
+	d.disk.mu.Lock()
+	defer d.disk.mu.Unlock()
+	maps.DeleteFunc(d.disk.undo, func(name string, _ []byte) bool { return filepath.Dir(name) == d.path })
+	return d.FS.SyncDir()
+}
+
+// losePower undoes the renames that are not durable.
+func (d *nameLosingDisk) losePower() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var errs []error
+	for name, b := range d.undo {
+		if b == nil {
+			errs = append(errs, os.Remove(name))
+		} else {
+			errs = append(errs, os.WriteFile(name, b, 0o600))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// Guards against saved state that a loss of power takes back to an arbitrarily old one,
+// because the names of the files written since were not durable.
+func TestSavedStateSurvivesLossOfPower(t *testing.T) {
+	c := newCluster(t, 1)
+	disk := &nameLosingDisk{undo: make(map[string][]byte)}
+	c.openDirs = disk.open
+	c.startAll(true)
+	for n := 1; n <= 3; n++ {
+		c.put(n, 0)
+		c.eventually("saved state", func() error { return c.checkSaved(0, n) })
+	}
+	c.hubs[0].stop()
+	if err := disk.losePower(); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.checkSaved(0, 3); err != nil {
+		t.Errorf("after a loss of power: %v", err)
+	}
+}
+
+// checkSaved returns an error unless hub i has saved document n.
+func (c *cluster) checkSaved(i, n int) error {
+	store := feed.NewStore(feed.Hub{}, registry.New(time.Second, time.Now()), time.Now())
+	b, err := os.ReadFile(filepath.Join(c.data(i), cacheFile))
+	if err != nil {
+		return err
+	}
+	if err := store.Restore(b, time.Now()); err != nil || int(store.Number()) != n {
+		return fmt.Errorf("saved state of hub %d: document %d, %v, want %d", i, store.Number(), err, n)
+	}
+	return nil
+}
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -23,6 +23,7 @@
 	"bamboowalk.org/bamboowalk/pkg/catalog"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/registry"
+	"bamboowalk.org/bamboowalk/pkg/replica"
 )
 
 // waitTimeout bounds the waits of the tests. It covers an election and the
@@ -56,6 +57,9 @@
 		handler http.Handler
 		// disks holds the disks of the hubs; nil means those of the operating system.
 		disks []*fakedisk.Disk
+		// openDirs opens the directories of all hubs if disks is nil; nil means those of
+		// the operating system.
+		openDirs func(dir string) replica.FS
 	}
 
 	runningHub struct {
@@ -108,6 +112,7 @@
 		Log:          zap.NewNop(),
 		LinesDropped: func() uint64 { return 0 },
 	}
+	d.openDir = c.openDirs
 	if c.disks != nil {
 		d.openDir = c.disks[i].Open
 	}
