gateway: without a majority, an entry VM follows the newest hub

What callers saw: requests were handled by a configuration older than one that another hub, which the entry VM could reach, had published.

Cause: hubs without contact to a majority ranked alike. An entry VM that started while no hub had a majority took the first that answered, and left it only for a hub with a majority.

Evidence: TestNewestHubWithoutMajority without the change: search that begins at hub 0: got the hub with catalog 7, want the one with 9 hub with a newer catalog: got catalog 7 and zones 0 (after 4.8 s)

All that a hub publishes was committed, so a higher number or revision is in force. Among hubs without a majority, those that are ahead of the VM rank first, the newest above the others, and the VM moves to one that is ahead. Each move raises the catalog or the zones of the VM, so that it does not alternate. The test also covers that a VM keeps both when only an older hub is left, which held before.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -112,8 +113,9 @@
 		hub  fleet.VMID
 		feed *feed.Subscription
 		// behind is set if the revision of the hub's zones is lower than that of this
-		// VM's, so that the hub may lack zone orders in force.
-		behind bool
+		// VM's, so that the hub may lack zone orders in force. ahead is set if the hub's
+		// catalog or zones were newer than this VM's.
+		behind, ahead bool
 	}
 )
 
@@ -183,12 +185,14 @@
 //   - the best hubFeed found, if that hubFeed is usable and each candidate has
 //     been tried or was silent too recently to be tried again;
 //   - the best hubFeed found, at most attemptDelay after the start of the last
-//     attempt;
+//     attempt and after each response since;
 //   - the result of the next attempt that ends, which may be nil, if no hub has
 //     responded by the start of the last attempt.
 //
 // While this VM has no catalog, hubs without a catalog, for example after the loss
 // of a disk, rank last. Hubs with older zone orders than this VM rank below others.
+// Among hubs without a majority, those with a newer catalog or newer zone orders than
+// this VM rank first, the newest of them above the others.
 func (f *follower) search(ctx context.Context, candidates []fleet.VMID, rounds int) *hubFeed {
 	number := f.number()
 	total := rounds * len(candidates)
@@ -231,7 +235,12 @@
 				closePending(results, pending)
 				return best
 			}
-			nextAttempt.Reset(0)
+			wait := time.Duration(0)
+			if pending > 0 && attempts >= len(candidates) && best.usable(number) {
+				// A hub that has not responded yet may have a newer catalog.
+				wait = attemptDelay
+			}
+			nextAttempt.Reset(wait)
 		}
 	}
 	return best
@@ -243,19 +252,31 @@
 	return s != nil && (number > 0 || s.feed.Greeting.Number > 0)
 }
 
+// replaces reports whether a usable hubFeed replaces the one that this VM follows, whose
+// hub is in contact with a majority if current is set.
+func (s *hubFeed) replaces(current bool, number catalog.Number) bool {
+	if !current && s.ahead {
+		return true
+	}
+	return !s.behind && (s.feed.Greeting.Current || number == 0)
+}
+
 // topRank is the highest result of rank.
-const topRank = 4
+const topRank = 5
 
 // rank returns the rank of a hubFeed; higher is better. A usable hubFeed ranks
-// above an unusable one. Among usable ones, those whose hubs have older zone orders
-// than this VM rank lowest, and those whose hubs are in contact with a majority
-// highest.
+// above an unusable one. Among usable ones, those whose hubs are in contact with a
+// majority rank highest, followed by those whose hubs have a newer catalog or newer
+// zone orders than this VM: all that is published was committed, so it is in force.
+// Those whose hubs have older zone orders than this VM rank lowest.
 func (s *hubFeed) rank(number catalog.Number) int {
 	switch {
 	case s == nil:
 		return 0
 	case !s.usable(number):
 		return 1
+	case s.ahead && !s.feed.Greeting.Current:
+		return 4
 	case s.behind:
 		return 2
 	case !s.feed.Greeting.Current:
@@ -264,10 +285,20 @@
 	return topRank
 }
 
-// better returns the higher-ranked of two hubFeeds, either of which may be nil,
-// and closes the other.
+// compare returns a number above 0 if a is the better of two hubFeeds, below 0 if b is,
+// and 0 if both are as good. Either may be nil.
+func compare(a, b *hubFeed, number catalog.Number) int {
+	if c := cmp.Compare(a.rank(number), b.rank(number)); c != 0 || a == nil {
+		return c
+	}
+	x, y := &a.feed.Greeting, &b.feed.Greeting
+	return cmp.Or(cmp.Compare(x.Number, y.Number), cmp.Compare(x.ZoneRevision, y.ZoneRevision))
+}
+
+// better returns the better of two hubFeeds, either of which may be nil, and closes
+// the other.
 func better(a, b *hubFeed, number catalog.Number) *hubFeed {
-	if b.rank(number) > a.rank(number) {
+	if compare(b, a, number) > 0 {
 		a, b = b, a
 	}
 	if b != nil {
@@ -305,7 +336,11 @@
 	if err != nil {
 		return nil
 	}
-	return &hubFeed{hub: id, feed: sub, behind: sub.Greeting.ZoneRevision < hello.ZoneRevision}
+	g := &sub.Greeting
+	return &hubFeed{
+		hub: id, feed: sub, behind: g.ZoneRevision < hello.ZoneRevision,
+		ahead: g.Number > hello.Number || g.ZoneRevision > hello.ZoneRevision,
+	}
 }
 
 // nextCandidate returns the index of the candidate for the given attempt: the next
@@ -401,7 +436,7 @@
 		select {
 		case candidate := <-searchResult:
 			searchResult = nil
-			if candidate.usable(number) && !candidate.behind && (candidate.feed.Greeting.Current || number == 0) {
+			if candidate.usable(number) && candidate.replaces(u.Current, number) {
 				return candidate
 			}
 			candidate.close()
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -304,3 +304,56 @@
 		t.Errorf("zones of the core: got revision %d with %d evacuated, want 3 with 1", revision, evacuated)
 	}
 }
+
+// Guards against a VM that starts while no hub has a majority and obeys an older catalog
+// or older zone orders although it could learn of newer ones, and against one that goes
+// back to an older catalog when the hub with the newest one is gone.
+func TestNewestHubWithoutMajority(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	older, _ := publishStore(t, ctx, "127.0.0.1:0", &catalog.Catalog{Number: 7})
+	at := func(host byte) string {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, host}), older.Port()).String()
+	}
+	newestCtx, stopNewest := context.WithCancel(ctx)
+	newest, _ := publishStore(t, newestCtx, at(2), &catalog.Catalog{Number: 9})
+	between, _ := publishStore(t, ctx, at(3), &catalog.Catalog{Number: 8})
+	ids := []fleet.VMID{hub.IDOf(older), hub.IDOf(newest), hub.IDOf(between)}
+	f := &follower{
+		Hello: feed.Hello{VM: "front-1", Zone: "z0", Role: feed.Entry}, Port: older.Port(), Log: zap.NewNop(),
+		Core: steering.New("z0", nil), Apply: func(*mirror, *mirrorChange, time.Time) {},
+	}
+	for i := range ids {
+		s := f.search(ctx, append(ids[i:len(ids):len(ids)], ids[:i]...), 1)
+		if s == nil || s.hub != hub.IDOf(newest) {
+			t.Errorf("search that begins at hub %d: got %+v, want the hub with the newest catalog", i, s)
+		}
+		s.close()
+	}
+	// The VM knows only one hub when it starts.
+	f.setSeeds([]netip.AddrPort{older})
+	go f.run(ctx)
+	waitFor := func(what string, ok func() bool) {
+		t.Helper()
+		for end := time.Now().Add(4 * feed.IdleTimeout); !ok(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: got catalog %d and zones %d", what, f.number(), f.zoneRevision())
+			}
+		}
+	}
+	waitFor("start", func() bool { return f.number() == 7 })
+	f.setSeeds([]netip.AddrPort{older, between, newest})
+	waitFor("hub with a newer catalog", func() bool { return f.number() == 9 })
+	zones, store := publishStore(t, newestCtx, at(4), &catalog.Catalog{Number: 6})
+	store.SetZones(catalog.Zones{Revision: 3})
+	f.setSeeds([]netip.AddrPort{older, zones, newest})
+	waitFor("hub with newer zone orders", func() bool { return f.zoneRevision() == 3 })
+	f.setSeeds([]netip.AddrPort{older})
+	started := f.feedsStarted.Load()
+	stopNewest()
+	waitFor("older hub", func() bool { return f.feedsStarted.Load() > started })
+	time.Sleep(feed.IdleTimeout / 2)
+	if f.number() != 9 || f.zoneRevision() != 3 {
+		t.Errorf("at an older hub: got catalog %d and zones %d, want 9 and 3", f.number(), f.zoneRevision())
+	}
+}
