replica: events and counters of members, votes and admissions

A replica reports these as events of its Output, which have no effect on any decision, and counts them in Stats.

--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -225,8 +225,10 @@
 	if err != nil {
 		return 0, &DecodeError{Type: "config", Err: err}
 	}
+	change := r.describeChange(vm, &next)
 	id := r.appendNewEntry(ConfigEntry, data)
 	r.updateProgress()
+	r.observeChange(change)
 	return id, nil
 }
 
@@ -342,8 +344,10 @@
 // at the next heartbeat. A proposed change discards the join request of vm, so
 // that the replica must send Join again for another admission.
 func (r *Replica) proposeInternalChange(vm fleet.VMID, next Config) {
-	if _, err := r.proposeConfig(vm, next); err == nil {
-		delete(r.joinRequests, vm)
-		delete(r.pendingProposals, r.lastIndex())
+	if _, err := r.proposeConfig(vm, next); err != nil {
+		r.observeRefusedChange(vm, err)
+		return
 	}
+	delete(r.joinRequests, vm)
+	delete(r.pendingProposals, r.lastIndex())
 }
--- a/pkg/replica/election.go
+++ b/pkg/replica/election.go
@@ -25,6 +25,7 @@
 		return
 	}
 	sender := Identity{VM: from, Incarnation: m.From}
+	r.observe(sender, &m)
 	switch m.Kind {
 	case PreVote:
 		r.handlePreVote(sender, &m)
@@ -115,6 +116,9 @@
 	prevRole := r.role
 	r.fire(e)
 	r.leader, r.votes = "", nil
+	if prevRole == roleCandidate {
+		r.stats.ElectionsLost++
+	}
 	if prevRole == roleLeader {
 		r.failPending()
 		r.leaderState = leaderState{}
@@ -129,6 +133,7 @@
 
 // startPreVote requests pre-votes, which do not change the term.
 func (r *Replica) startPreVote() {
+	r.observeElectionTimeout()
 	r.fire(eventElectionTimeout)
 	r.leader = ""
 	r.resetElection()
@@ -161,6 +166,7 @@
 }
 
 func (r *Replica) requestVotes(kind MessageKind, term Term, transfer bool) {
+	r.observeRequest(kind)
 	r.votes = map[Identity]bool{r.self: true}
 	for _, id := range r.config().voters() {
 		if id == r.self {
@@ -202,6 +208,7 @@
 
 func (r *Replica) handlePreVote(from Identity, m *Message) {
 	reject := m.Term <= r.hard.Term || r.withholdsVote() || !r.upToDate(m.Position)
+	r.observeVote(from, m, !reject)
 	reply := Message{Kind: PreVoteReply, Reject: reject}
 	if !reject {
 		reply.Term = m.Term
@@ -211,6 +218,7 @@
 
 func (r *Replica) handleVote(from Identity, m *Message) {
 	if m.Term >= r.hard.Term && !m.Transfer && r.withholdsVote() {
+		r.observeVote(from, m, false)
 		r.stats.MessagesIgnored++
 		return
 	}
@@ -219,6 +227,7 @@
 	}
 	voteAvailable := r.hard.Vote == Identity{} || r.hard.Vote == from
 	grant := m.Term == r.hard.Term && voteAvailable && r.upToDate(m.Position)
+	r.observeVote(from, m, grant)
 	if grant {
 		r.setHardState(hardState{Term: r.hard.Term, Vote: from})
 		r.resetElection()
@@ -268,6 +277,7 @@
 			r.send(vm, Message{Kind: Join, Term: r.hard.Term})
 		}
 	}
+	r.observeJoinsSent(peers)
 }
 
 // knownPeers returns the members of the config and Options.Peers.
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -245,6 +245,7 @@
 		r.stepDown(eventQuorumLost)
 		return
 	}
+	r.observeSilence()
 	r.manageMembers()
 	r.commitAtCheck = r.commit
 	r.heartbeatDue = true
--- a/pkg/replica/members_test.go
+++ b/pkg/replica/members_test.go
@@ -21,13 +21,14 @@
 	replicas map[fleet.VMID]*Replica // those that run
 	cut      map[fleet.VMID]bool
 	interval time.Duration // between two calls of Tick
+	events   map[fleet.VMID][]Event
 }
 
 // newMemberCluster starts a log with three initial members, and admits the other VMs.
 func newMemberCluster(t *testing.T, opts Options, vms ...fleet.VMID) *memberCluster {
 	c := &memberCluster{
 		t: t, now: time.Unix(1e9, 0), opts: opts, disks: map[fleet.VMID]*disk{}, replicas: map[fleet.VMID]*Replica{}, cut: map[fleet.VMID]bool{},
-		interval: 20 * time.Millisecond,
+		interval: 20 * time.Millisecond, events: map[fleet.VMID][]Event{},
 	}
 	c.opts.AutoAdmit, c.opts.QuorumReads = true, true
 	first := voters(vms[:3])
@@ -87,6 +88,7 @@
 	if out.Err != nil {
 		c.t.Fatalf("%s stopped: %v", from, out.Err)
 	}
+	c.events[from] = append(c.events[from], out.Events...)
 	for _, e := range out.Envelopes {
 		if r := c.replicas[e.To]; r != nil && !c.cut[from] && !c.cut[e.To] {
 			c.deliver(e.To, r.Handle(from, e.Message, c.now))
--- a/pkg/replica/message.go
+++ b/pkg/replica/message.go
@@ -129,11 +129,13 @@
 
 	// Output holds the messages, results and reads that a Flush returns. They
 	// may be sent, because everything they depend on is durable. Err is a
-	// StoppedError once the replica has stopped.
+	// StoppedError once the replica has stopped. Events are for logs; their number is
+	// limited by time.
 	Output struct {
 		Envelopes []Envelope
 		Results   []Result
 		Reads     []Read
+		Events    []Event
 		Err       error
 	}
 
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -178,6 +178,7 @@
 		lastProposalID   ProposalID
 		lastReadID       ReadID
 		output           Output
+		events           eventState
 	}
 )
 
@@ -330,6 +331,7 @@
 // must call Tick every ElectionTimeout/50.
 func (r *Replica) Tick(now time.Time) Output {
 	r.advanceClocks(now)
+	r.trackLeader()
 	switch r.role {
 	case roleStopped:
 	case roleLeader:
@@ -364,7 +366,7 @@
 	out := r.output
 	r.output = Output{}
 	if r.stopErr != nil {
-		out = Output{Results: out.Results, Reads: out.Reads, Err: r.stopErr}
+		out = Output{Results: out.Results, Reads: out.Reads, Events: out.Events, Err: r.stopErr}
 	}
 	r.stats.MessagesSent += uint64(len(out.Envelopes))
 	return out
@@ -429,6 +431,7 @@
 	case d > limit:
 		r.leaseClock += d
 		r.electionClock += limit
+		r.stats.ClockLeftOut += d - limit
 	default:
 		r.leaseClock += d
 		r.electionClock += d
