replication, hub, control: metrics and log lines of the members of the log

What operators saw: "hubs of the log changed" named members without their roles, the transport's counters were not exported, and no line told why a member was admitted or removed, or what a hub without a leader waited for.

The loop writes one line for each event of the replica. The collector of both families of control VMs exports the new counters, without a label per peer; what only a leader knows is absent at the others.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -172,6 +172,7 @@
 		Address:  d.replicationAddress,
 		// Zero stands for the default.
 		QueueBytes: d.Settings.Memory / replication.QueuePart,
+		Log:        d.Log,
 	}
 	if d.Settings.Keys != nil {
 		var err error
@@ -283,7 +284,7 @@
 func (d *Daemon) serve(ctx context.Context) error {
 	api := &API{ReplicatedLog: currentLog{d}, RootKeyHash: d.Settings.RootKeyHash}
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(&collector{loop: d.loop.Load}, &replication.Collector{Loop: func() *replication.Loop {
+	registry.MustRegister(&collector{loop: d.loop.Load}, &replication.Collector{Transport: d.transport, Loop: func() *replication.Loop {
 		if l := d.loop.Load(); l != nil {
 			return &l.Loop
 		}
--- a/internal/control/reopen.go
+++ b/internal/control/reopen.go
@@ -117,7 +117,7 @@
 	}
 	d.hintAddresses = &subscribers{addresses: make(map[fleet.VMID]netip.AddrPort)}
 	l := &loop{
-		Loop:       replication.Loop{Replica: r, Send: d.transport.Send, QueueBytes: d.transport.QueueBytes},
+		Loop:       replication.Loop{Replica: r, Send: d.transport.Send, QueueBytes: d.transport.QueueBytes, Log: d.Log},
 		self:       d.Settings.ID,
 		machine:    m,
 		spreadNode: &spread.Node{Self: d.Settings.ID, Store: settingsStore{m}, Replica: true},
--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -102,7 +102,7 @@
 		// loop is nil while the replica is down.
 		loop    atomic.Pointer[replicaLoop]
 		role    string
-		members []fleet.VMID
+		members []replica.Member
 		// openDir returns the files of a directory; nil means those of the operating
 		// system.
 		openDir func(dir string) replica.FS
@@ -253,6 +253,7 @@
 		Address:    func(id fleet.VMID) string { return AddressOf(id, d.Settings.Replication) },
 		Deliver:    func(from fleet.VMID, m replica.Message) bool { return d.deliver(ctx, from, m) },
 		QueueBytes: d.memory() / replication.QueuePart,
+		Log:        d.Log,
 	}
 	publisher := &feed.Publisher{Store: d.store, Listener: feedListener}
 	d.Log.Info("hub started", zap.String("Zone", string(d.Settings.Zone)), zap.Bool("First", d.Settings.First))
@@ -277,7 +278,7 @@
 		return err
 	})
 	group.Go(func() error {
-		collectors := append(d.Collectors, &collector{d}, &replication.Collector{Loop: d.currentLoop})
+		collectors := append(d.Collectors, &collector{d}, &replication.Collector{Loop: d.currentLoop, Transport: d.transport})
 		return logging.ServeMetrics(ctx, metricsListener, collectors...)
 	})
 	err = group.Wait()
@@ -315,6 +316,7 @@
 		return err
 	}
 	l.Replica, l.Send, l.QueueBytes = r, d.transport.Send, d.memory()/replication.QueuePart
+	l.Log = d.Log
 	l.lastAtOpen = r.Stats().LastIndex
 	l.AfterStep = func(time.Time) {
 		if s := d.seeds.Load(); s != seeds {
@@ -402,10 +404,19 @@
 		d.Log.Info("replica changed its role", zap.String(logging.Role, role), zap.String("Leader", string(r.Leader())),
 			zap.Uint64("Term", uint64(r.Stats().Term)))
 	}
-	if !slices.Equal(ids, d.members) {
-		d.members = ids
-		d.Log.Info("hubs of the log changed", zap.Any("Hubs", ids))
+	if slices.Equal(members, d.members) {
+		return
 	}
+	d.members = members
+	voters, learners := []fleet.VMID{}, []fleet.VMID{}
+	for _, m := range members {
+		if m.Voter {
+			voters = append(voters, m.VM)
+		} else {
+			learners = append(learners, m.VM)
+		}
+	}
+	d.Log.Info("hubs of the log changed", zap.Any("Voters", voters), zap.Any("Learners", learners))
 }
 
 // catalogChanged publishes a committed catalog. It runs in the replica's goroutine.
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -60,6 +60,10 @@
 		// openDirs opens the directories of all hubs if disks is nil; nil means those of
 		// the operating system.
 		openDirs func(dir string) replica.FS
+		// log is the logger of all hubs; nil writes nothing.
+		log *zap.Logger
+		// metrics is the port that serves metrics; 0 serves none.
+		metrics uint16
 	}
 
 	runningHub struct {
@@ -96,6 +100,14 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), c.ports[0])
 }
 
+// metricsAddress returns the address that serves the metrics of hub i, if any.
+func (c *cluster) metricsAddress(i int) netip.AddrPort {
+	if c.metrics == 0 {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(c.address(i).Addr(), c.metrics)
+}
+
 func (c *cluster) data(i int) string { return filepath.Join(c.dir, strconv.Itoa(i)) }
 
 // start runs hub i; first is set at the first start, when the seeds become the
@@ -103,13 +115,13 @@
 func (c *cluster) start(i int, first bool) *Daemon {
 	d := &Daemon{
 		Settings: &Settings{
-			HTTP: c.address(i), Zone: fleet.ZoneID(fmt.Sprintf("z%d", i)), Seeds: c.seeds,
+			HTTP: c.address(i), Metrics: c.metricsAddress(i), Zone: fleet.ZoneID(fmt.Sprintf("z%d", i)), Seeds: c.seeds,
 			Feed: c.ports[1], Replication: c.ports[2], Data: c.data(i), First: first,
 			AnnounceInterval: time.Second, ZoneOrders: true, Regions: map[fleet.ZoneID]fleet.RegionID{"z0": "r", "z1": "r"},
 		},
 		Parse:        parse,
 		Handler:      cmp.Or(c.handler, http.NotFoundHandler()),
-		Log:          zap.NewNop(),
+		Log:          cmp.Or(c.log, zap.NewNop()),
 		LinesDropped: func() uint64 { return 0 },
 	}
 	d.openDir = c.openDirs
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -64,6 +64,8 @@
 	Avoided     = "Avoided"
 	Slowness    = "Slowness"
 	EstimateAge = "EstimateAge"
+	// Member is a replica of the log.
+	Member = "Member"
 	// LeftOut is the number of lines of the same cause that were suppressed
 	// since the previous line of this cause.
 	LeftOut = "LeftOut"
--- a/internal/replication/loop.go
+++ b/internal/replication/loop.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sync/semaphore"
 
 	"bamboowalk.org/bamboowalk/pkg/fleet"
@@ -39,6 +40,8 @@
 		// QueueBytes is the maximum size in bytes of the commands and snapshots in the
 		// messages that wait for the loop, DefaultQueueBytes if it is 0.
 		QueueBytes int
+		// Log, if set, is the logger for the events of the replica.
+		Log *zap.Logger
 
 		calls         chan func(now time.Time)
 		queued        *semaphore.Weighted
@@ -135,6 +138,7 @@
 	for _, e := range out.Envelopes {
 		l.Send(e)
 	}
+	l.logEvents(out.Events)
 	for _, r := range out.Results {
 		l.complete(l.pendingWrites[r.ID], outcome{value: r.Value, err: r.Err})
 		delete(l.pendingWrites, r.ID)
@@ -153,6 +157,15 @@
 	return out.Err
 }
 
+func (l *Loop) logEvents(events []replica.Event) {
+	if l.Log == nil {
+		return
+	}
+	for _, e := range events {
+		logEvent(l.Log, e)
+	}
+}
+
 func (l *Loop) complete(c *pendingCall, o outcome) {
 	if c != nil {
 		c.done <- o
--- a/internal/replication/transport.go
+++ b/internal/replication/transport.go
@@ -16,6 +16,7 @@
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/replica"
 	"github.com/cenkalti/backoff/v5"
+	"go.uber.org/zap"
 )
 
 const (
@@ -68,6 +69,8 @@
 		// messages queued for all peers, DefaultQueueBytes if it is 0. Further messages
 		// with commands or snapshots are dropped.
 		QueueBytes int
+		// Log, if set, is the logger for peers that can't be reached.
+		Log *zap.Logger
 
 		counters    counters
 		queuedBytes atomic.Int64
@@ -84,14 +87,17 @@
 	// dials and calls. Invalid counts received messages that could not be
 	// decoded or whose sender does not match the certificate. Rejected counts
 	// incoming connections that exceeded maxConns or failed the TLS handshake.
+	// CallTimeouts counts calls that had no answer within callTimeout.
 	TransportStats struct {
 		Sent, Received, Dropped, Invalid uint64
 		Dials, DialErrors, Rejected      uint64
+		CallTimeouts                     uint64
 	}
 
 	counters struct {
 		sent, received, dropped, invalid atomic.Uint64
 		dials, dialErrors, rejected      atomic.Uint64
+		callTimeouts                     atomic.Uint64
 	}
 
 	// Batch is the argument of the RPC that delivers messages. Each message is
@@ -140,6 +146,11 @@
 		keyVersion    uint64
 		redialBackoff *backoff.ExponentialBackOff
 		retryAt       time.Time
+		// failures counts the failed calls and dials since the last success. reported
+		// is set if one of them was logged, and the next may be logged at nextReport.
+		failures   uint64
+		reported   bool
+		nextReport time.Time
 	}
 )
 
@@ -158,6 +169,7 @@
 	return TransportStats{
 		Sent: c.sent.Load(), Received: c.received.Load(), Dropped: c.dropped.Load(), Invalid: c.invalid.Load(),
 		Dials: c.dials.Load(), DialErrors: c.dialErrors.Load(), Rejected: c.rejected.Load(),
+		CallTimeouts: c.callTimeouts.Load(),
 	}
 }
 
@@ -379,11 +391,25 @@
 	if err := s.connect(ctx); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	err := s.call(ctx, b)
+	switch {
+	case err == nil:
+		s.reportSuccess()
+	case ctx.Err() == nil:
+		s.reportFailure(err, time.Now())
+	}
+	return err
+}
+
+func (s *sender) call(ctx context.Context, b *Batch) error {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	call := s.client.Go(deliverMethod, b, &Empty{}, make(chan *rpc.Call, 1))
 	select {
-	case <-ctx.Done():
+	case <-callCtx.Done():
+		if ctx.Err() == nil {
+			s.t.counters.callTimeouts.Add(1)
+		}
 		return &PeerError{Peer: s.peer, Op: "call", Err: TimeoutError{}}
 	case <-call.Done:
 	}
@@ -410,7 +436,11 @@
 	if err != nil {
 		s.t.counters.dialErrors.Add(1)
 		s.retryAt = now.Add(s.redialBackoff.NextBackOff())
-		return &PeerError{Peer: s.peer, Op: "dial", Err: err}
+		err = &PeerError{Peer: s.peer, Op: "dial", Err: err}
+		if ctx.Err() == nil {
+			s.reportFailure(err, now)
+		}
+		return err
 	}
 	s.redialBackoff.Reset()
 	s.client = rpc.NewClient(conn)
--- a/internal/replication/transport_test.go
+++ b/internal/replication/transport_test.go
@@ -20,6 +20,7 @@
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/replica"
 	"go.uber.org/goleak"
+	"go.uber.org/zap"
 )
 
 type (
@@ -78,10 +79,15 @@
 
 // open runs a transport on a loopback port, and stores its address in addresses.
 func open(t *testing.T, self fleet.VMID, keys *KeyStore, addresses *sync.Map) *testTransport {
+	return openLogged(t, self, keys, addresses, nil)
+}
+
+// openLogged runs a transport with a log, like open.
+func openLogged(t *testing.T, self fleet.VMID, keys *KeyStore, addresses *sync.Map, log *zap.Logger) *testTransport {
 	listener := must(net.Listen("tcp", "127.0.0.1:0"))
 	addresses.Store(self, listener.Addr().String())
 	tr := &testTransport{received: make(chan fleet.VMID, 100)}
-	tr.Transport = &Transport{Self: self, Listener: listener, Keys: keys,
+	tr.Transport = &Transport{Self: self, Listener: listener, Keys: keys, Log: log,
 		Address: func(vm fleet.VMID) string { address, _ := addresses.Load(vm); return address.(string) },
 		Deliver: func(from fleet.VMID, m replica.Message) bool { tr.received <- from; return true }}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/replica/message.go
+++ b/pkg/replica/message.go
@@ -35,6 +35,12 @@
 	ConfigEntry
 )
 
+var messageKindNames = [...]string{
+	0: "none", PreVote: "PreVote", PreVoteReply: "PreVoteReply", Vote: "Vote", VoteReply: "VoteReply", Append: "Append",
+	AppendReply: "AppendReply", SnapshotChunk: "SnapshotChunk", SnapshotChunkReply: "SnapshotChunkReply", Join: "Join",
+	TimeoutNow: "TimeoutNow", JoinReply: "JoinReply",
+}
+
 type (
 	// Index is the index of a log entry, counted from 1.
 	Index uint64
@@ -156,6 +162,14 @@
 	}
 )
 
+// String returns the name of the kind.
+func (k MessageKind) String() string {
+	if int(k) >= len(messageKindNames) {
+		return "unknown"
+	}
+	return messageKindNames[k]
+}
+
 // EncodeMessage returns the CBOR encoding of a message, or a DecodeError.
 func EncodeMessage(m *Message) ([]byte, error) {
 	data, err := cbor.Marshal(m)
