--- a/docs/dashboard_test.go
+++ b/docs/dashboard_test.go
@@ -84,6 +84,16 @@
 	{"Age of the feed at entry VMs", "s", [][2]string{{"max(bamboowalk_feed_age_seconds)", "oldest"}}},
 	{"Feeds begun a second", "cps", [][2]string{{"sum(rate(bamboowalk_feeds_total[1m]))", "feeds"}}},
 	{"Hubs with a majority, and all", "short", [][2]string{{"sum(bamboowalk_hub_current)", "current"}, {"max(bamboowalk_hubs)", "in the log"}}},
+	{"Voters of the log", "short", [][2]string{
+		{"max(bamboowalk_replica_voters)", "voters"},
+		{"max(bamboowalk_replica_silent_voters)", "silent"},
+		{"min(bamboowalk_replica_spare_voters)", "may still be lost"},
+		{"max(bamboowalk_replica_tolerance)", "tolerance"},
+	}},
+	{"Hubs without a leader", "s", [][2]string{
+		{"max(bamboowalk_replica_leader_unknown_seconds)", "longest"},
+		{"min(bamboowalk_replica_leader_unknown_seconds)", "all"},
+	}},
 	{"Calls of targets and operators, 99 %", "s", [][2]string{{"histogram_quantile(0.99, sum by (le, call) (rate(bamboowalk_call_seconds_bucket[1m])))", "{{call}}"}}},
 	{"Connections of a hub", "short", [][2]string{
 		{"max(bamboowalk_http_connections)", "HTTP, most"},
--- a/internal/report/collect.go
+++ b/internal/report/collect.go
@@ -86,6 +86,9 @@
 	"configuration acknowledged":      "configuration acknowledged",
 	"settings reloaded":               "settings reloaded",
 	"replica stopped":                 "replica stopped",
+	"no leader is known":              "hub knows no leader",
+	"not admitted to the log":         "hub is not admitted to the log",
+	"silent voters changed":           "silent voters changed",
 	"request overdue, target avoided": "target avoided, request overdue",
 }
 
