replication: messages pass a silent connection by within half a second

What callers saw: possibly seconds without a leader, and members that were removed although they ran.

Cause: a connection between control VMs may go silent without a reset. A call over it ended only after 5 s, and until then nothing reached that peer. That is longer than RemoveAfter (3 s) and than an election (1 to 2 s). The messages of the call were then lost, also a vote request, which a candidate sends once. A message larger than the buffers of the kernel blocked the sender inside a write, to which no timeout applied. A vote sent over a connection that was reset by a restart was lost as well.

Change: a call without progress for 200 ms, and some more for large batches, gives way to a new connection. Progress is measured by the data that pass, with a limited send buffer, so that a slow link is not taken for a silent one. The stalled call goes on over its connection for as long as data pass, because the peer may only be slow; at most one such call is kept for each peer. Messages without commands are sent again for up to a second; Raft tolerates duplicates, and sends commands again by itself. The timeout doubles with each stall, up to 1.6 s, so that a peer that holds back its calls is not called over ever more connections.

Ruled out: a second connection for small messages at all times. Heartbeats would overtake entries, and each of those would be rejected and sent again.

TestLargeTransferOnSlowLink (170 Mbit/s, 24 of each 100 ms) still needs one dial, and TestReceiverHoldsBackCalls (3.5 s) at most five.

--- a/internal/replication/transport.go
+++ b/internal/replication/transport.go
@@ -15,7 +15,6 @@
 
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/replica"
-	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 )
 
@@ -25,9 +24,6 @@
 	serviceName      = "Replica"
 	deliverMethod    = serviceName + ".Deliver"
 
-	// queueLength is the maximum number of messages queued for one peer. Further messages are
-	// dropped, which is safe because Raft sends them again.
-	queueLength = 256
 	// DefaultQueueBytes is the default of Transport.QueueBytes and Loop.QueueBytes.
 	DefaultQueueBytes = replica.DefaultMemory / QueuePart
 	// QueuePart is the part of the memory of a VM, as a divisor, that each of the two
@@ -36,16 +32,11 @@
 	// maxCallBytes is the maximum size of one call. Valid calls stay far below it:
 	// a batch ends with the message that reaches maxBatchBytes, and no message
 	// is larger than a few MiB.
-	maxCallBytes  = 16 << 20
-	maxBatchBytes = 1 << 20
+	maxCallBytes = 16 << 20
 	// maxConns is the maximum number of accepted connections that are open. Each peer needs one connection.
 	maxConns = 64
 
-	dialTimeout      = time.Second
 	handshakeTimeout = 2 * time.Second
-	callTimeout      = 5 * time.Second
-	minRedialDelay   = 50 * time.Millisecond
-	maxRedialDelay   = time.Second
 )
 
 type (
@@ -84,10 +75,11 @@
 
 	// TransportStats holds the counters of a Transport. Dropped counts outgoing
 	// messages that could not be queued or encoded, and the messages of failed
-	// dials and calls. Invalid counts received messages that could not be
+	// dials and calls. Control messages, which hold no commands, are sent again for a
+	// second before they count. CallTimeouts counts calls that made no progress and were
+	// replaced by a new connection. Invalid counts received messages that could not be
 	// decoded or whose sender does not match the certificate. Rejected counts
 	// incoming connections that exceeded maxConns or failed the TLS handshake.
-	// CallTimeouts counts calls that had no answer within callTimeout.
 	TransportStats struct {
 		Sent, Received, Dropped, Invalid uint64
 		Dials, DialErrors, Rejected      uint64
@@ -110,8 +102,7 @@
 	// Empty is the reply of the RPC that delivers messages.
 	Empty struct{}
 
-	// TimeoutError reports a call that timed out, or a dial that was not
-	// attempted because the retry delay after a failed dial has not passed.
+	// TimeoutError reports a call that made no progress or took too long.
 	TimeoutError struct{}
 
 	// PeerError reports a failed operation with a peer. If Run can't accept
@@ -122,6 +113,9 @@
 		Err  error
 	}
 
+	// HandshakeError reports a TLS handshake that one of the two sides has refused.
+	HandshakeError struct{ Err error }
+
 	// session is the RPC receiver of one accepted connection.
 	session struct {
 		t    *Transport
@@ -136,26 +130,16 @@
 		net.Conn
 		remaining atomic.Int64
 	}
-
-	// sender owns the queue and the outgoing connection to one peer.
-	sender struct {
-		t             *Transport
-		peer          fleet.VMID
-		queue         chan replica.Message
-		client        *rpc.Client
-		keyVersion    uint64
-		redialBackoff *backoff.ExponentialBackOff
-		retryAt       time.Time
-		// failures counts the failed calls and dials since the last success. reported
-		// is set if one of them was logged, and the next may be logged at nextReport.
-		failures   uint64
-		reported   bool
-		nextReport time.Time
-	}
 )
 
 // Error implements the error interface.
-func (TimeoutError) Error() string { return "timed out or waiting to redial" }
+func (TimeoutError) Error() string { return "timed out" }
+
+// Error returns the cause.
+func (e *HandshakeError) Error() string { return fmt.Sprintf("TLS handshake: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *HandshakeError) Unwrap() error { return e.Err }
 
 // Error returns the operation, the peer and the cause.
 func (e *PeerError) Error() string { return fmt.Sprintf("%s peer %s: %v", e.Op, e.Peer, e.Err) }
@@ -331,140 +315,9 @@
 	if q := t.peers[peer]; q != nil {
 		return q
 	}
-	redialBackoff := backoff.NewExponentialBackOff()
-	redialBackoff.InitialInterval, redialBackoff.MaxInterval = minRedialDelay, maxRedialDelay
-	s := &sender{t: t, peer: peer, queue: make(chan replica.Message, queueLength), redialBackoff: redialBackoff}
+	s := newSender(t, peer)
 	t.peers[peer] = s.queue
 	t.wg.Add(1)
 	go s.run(t.ctx)
 	return s.queue
 }
-
-func (s *sender) run(ctx context.Context) {
-	defer s.t.wg.Done()
-	defer s.disconnect()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case m := <-s.queue:
-			batch := s.collectBatch(m)
-			n := uint64(len(batch.Messages))
-			if err := s.deliver(ctx, batch); err != nil {
-				s.t.counters.dropped.Add(n)
-				s.disconnect()
-				continue
-			}
-			s.t.counters.sent.Add(n)
-		}
-	}
-}
-
-// collectBatch encodes m and the messages queued after it, until the queue is
-// empty or the batch has reached maxBatchBytes.
-func (s *sender) collectBatch(m replica.Message) *Batch {
-	b := &Batch{From: s.t.Self}
-	for size := 0; ; {
-		data, err := replica.EncodeMessage(&m)
-		s.t.queuedBytes.Add(-int64(m.Size()))
-		if err != nil {
-			s.t.counters.dropped.Add(1)
-		} else {
-			b.Messages = append(b.Messages, data)
-			size += len(data)
-		}
-		if size >= maxBatchBytes {
-			return b
-		}
-		select {
-		case m = <-s.queue:
-		default:
-			return b
-		}
-	}
-}
-
-func (s *sender) deliver(ctx context.Context, b *Batch) error {
-	if s.client != nil && s.t.Keys != nil && s.t.Keys.Version() != s.keyVersion {
-		s.disconnect()
-	}
-	if err := s.connect(ctx); err != nil {
-		return err
-	}
-	err := s.call(ctx, b)
-	switch {
-	case err == nil:
-		s.reportSuccess()
-	case ctx.Err() == nil:
-		s.reportFailure(err, time.Now())
-	}
-	return err
-}
-
-func (s *sender) call(ctx context.Context, b *Batch) error {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	call := s.client.Go(deliverMethod, b, &Empty{}, make(chan *rpc.Call, 1))
-	select {
-	case <-callCtx.Done():
-		if ctx.Err() == nil {
-			s.t.counters.callTimeouts.Add(1)
-		}
-		return &PeerError{Peer: s.peer, Op: "call", Err: TimeoutError{}}
-	case <-call.Done:
-	}
-	if call.Error != nil {
-		return &PeerError{Peer: s.peer, Op: "call", Err: call.Error}
-	}
-	return nil
-}
-
-// connect dials the peer unless a connection exists. After a failed dial, it
-// returns a PeerError without dialing until a jittered exponential delay has
-// passed, so that messages are dropped instead of queued until they are
-// obsolete.
-func (s *sender) connect(ctx context.Context) error {
-	if s.client != nil {
-		return nil
-	}
-	now := time.Now()
-	if now.Before(s.retryAt) {
-		return &PeerError{Peer: s.peer, Op: "dial", Err: TimeoutError{}}
-	}
-	s.t.counters.dials.Add(1)
-	conn, err := s.dial(ctx)
-	if err != nil {
-		s.t.counters.dialErrors.Add(1)
-		s.retryAt = now.Add(s.redialBackoff.NextBackOff())
-		err = &PeerError{Peer: s.peer, Op: "dial", Err: err}
-		if ctx.Err() == nil {
-			s.reportFailure(err, now)
-		}
-		return err
-	}
-	s.redialBackoff.Reset()
-	s.client = rpc.NewClient(conn)
-	return nil
-}
-
-func (s *sender) dial(ctx context.Context) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	address := s.t.Address(s.peer)
-	if address == "" {
-		return nil, &fleet.UnknownError{Type: "replica", Name: string(s.peer)}
-	}
-	if s.t.Keys == nil {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	}
-	s.keyVersion = s.t.Keys.Version()
-	d := tls.Dialer{Config: s.t.Keys.clientConfig(string(s.peer))}
-	return d.DialContext(ctx, "tcp", address)
-}
-
-func (s *sender) disconnect() {
-	if s.client != nil {
-		s.client.Close()
-		s.client = nil
-	}
-}
