replication: a control VM that is back hears from a leader within half a second

What callers would see: an election, or a member that is removed, although its VM has come back.

Cause: a dial to a VM without power takes until its timeout of 1 s, since the kernel repeats the first packet only after a second. The delay between two dials grew to 1.5 s with its jitter. So up to 2.5 s passed before the next dial.

The dial timeout is now 250 ms and the longest delay 150 ms before its jitter, so that a message needs at most about 475 ms. A TLS handshake has a timeout of its own (1 s). A VM without power costs two to three dials a second.

--- a/internal/replication/sender.go
+++ b/internal/replication/sender.go
@@ -30,7 +30,9 @@
 	// expected to arrive.
 	minRate = 4 << 20
 
-	dialTimeout = time.Second
+	// dialTimeout is some round trips between regions. A VM without power does not refuse
+	// a connection, and the kernel repeats its first packet only after a second.
+	dialTimeout = 250 * time.Millisecond
 	// clientHandshakeTimeout allows for processors that run for a part of the time only.
 	clientHandshakeTimeout = time.Second
 	// stallTimeout is the time without progress after which the next messages are sent
@@ -51,8 +53,10 @@
 	// after a failure. A candidate sends its vote requests once, and starts another
 	// election at the earliest after that time.
 	controlLifetime = replica.DefaultElectionTimeout
-	minRedialDelay  = 50 * time.Millisecond
-	maxRedialDelay  = time.Second
+	// Delays between dials, of which the longest and dialTimeout together stay below an
+	// election timeout.
+	minRedialDelay = 50 * time.Millisecond
+	maxRedialDelay = 150 * time.Millisecond
 )
 
 type (
--- a/internal/replication/silent_test.go
+++ b/internal/replication/silent_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"io"
 	"net"
+	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -332,3 +334,62 @@
 		t.Errorf("connections during a stall of %v: got %d, want at most %d", stall, got, want)
 	}
 }
+
+// unanswered returns the address of a listener that leaves connections without an answer,
+// as a VM without power does.
+func unanswered(t *testing.T) string {
+	t.Helper()
+	fd := must(syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0))
+	t.Cleanup(func() { must(0, syscall.Close(fd)) })
+	must(0, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	must(0, syscall.Listen(fd, 0))
+	port := must(syscall.Getsockname(fd)).(*syscall.SockaddrInet4).Port
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+	// Connections beyond the backlog get no answer.
+	for {
+		conn, err := net.DialTimeout("tcp", address, heartbeat)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { conn.Close() })
+	}
+}
+
+// Guards against a peer that hears from a leader late after it has come back, because of
+// the time of a dial to a VM without power, or the delay before the next dial.
+func TestPeerComesBack(t *testing.T) {
+	for name, down := range map[string]string{"refused": "127.0.0.1:1", "without power": unanswered(t)} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addresses := &sync.Map{}
+			a, b := open(t, "a", nil, addresses), open(t, "b", nil, addresses)
+			address := b.Listener.Addr().String()
+			for range 3 {
+				b.drop()
+				addresses.Store(fleet.VMID("b"), down)
+				b.closeAccepted()
+				for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(heartbeat) {
+					a.sendJoin("b")
+				}
+				addresses.Store(fleet.VMID("b"), address)
+				start := time.Now()
+				for arrived := false; !arrived && time.Since(start) < callTimeout; {
+					a.sendJoin("b")
+					arrived = b.waitFor(heartbeat) < heartbeat
+				}
+				if d := time.Since(start); d > reachLimit {
+					t.Errorf("first heartbeat to a peer that is back: got %v, want at most %v", d, reachLimit)
+				}
+			}
+		})
+	}
+}
+
+// closeAccepted closes all accepted connections.
+func (tr *testTransport) closeAccepted() {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	for conn := range tr.conns {
+		conn.Close()
+	}
+}
