replication: senders and connections of VMs that are gone end

What callers would see: after hundreds of replaced control VMs, replicas that can't reach a replica that runs, and memory that grows.

Cause: a sender with its queue, goroutine and connection stayed for each peer that was ever sent to. An accepted connection stayed until its peer closed it, which a VM that is gone for good never does; at 64 of them, further ones are rejected.

A sender ends after 10 s without messages, and closes its connection. An accepted connection without data for 20 s is closed; the longer time ensures that a sender does not write to a connection that its peer has just closed. Messages are queued under the lock under which a sender is removed (TestSendWhileSenderEnds).

The Deliver function of the tests blocked after the end of Run, against its contract, when more messages arrived than its channel holds. It now returns.

--- a/internal/replication/sender.go
+++ b/internal/replication/sender.go
@@ -1,6 +1,7 @@
 package replication
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -57,6 +58,9 @@
 	// election timeout.
 	minRedialDelay = 50 * time.Millisecond
 	maxRedialDelay = 150 * time.Millisecond
+	// senderIdleTimeout is the time without messages after which a sender ends and closes
+	// its connection.
+	senderIdleTimeout = 10 * time.Second
 )
 
 type (
@@ -113,10 +117,13 @@
 	}
 }
 
-// run sends the queued messages until ctx is done.
+// run sends the queued messages until ctx is done or the peer has been idle.
 func (s *sender) run(ctx context.Context) {
 	defer s.t.wg.Done()
 	defer s.disconnect()
+	idleTimeout := cmp.Or(s.t.idleTimeout, senderIdleTimeout)
+	idle := time.NewTimer(idleTimeout)
+	defer idle.Stop()
 	for {
 		s.dropObsolete(time.Now())
 		var retry <-chan time.Time
@@ -127,9 +134,16 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-idle.C:
+			if s.t.removeIdle(s) {
+				return
+			}
+			idle.Reset(idleTimeout)
+			continue
 		case <-retry:
 		case m := <-s.queue:
 			s.take(&m)
+			idle.Reset(idleTimeout)
 		}
 		if time.Now().Before(s.retryAt) {
 			continue
--- a/internal/replication/transport.go
+++ b/internal/replication/transport.go
@@ -63,6 +63,8 @@
 		// Log, if set, is the logger for peers that can't be reached.
 		Log *zap.Logger
 
+		// idleTimeout is senderIdleTimeout if it is 0.
+		idleTimeout time.Duration
 		counters    counters
 		queuedBytes atomic.Int64
 		mu          sync.Mutex
@@ -123,12 +125,13 @@
 		conn *limitedConn
 	}
 
-	// limitedConn limits the bytes read per call. The field remaining is the
-	// number of bytes that may still be read; session.Deliver resets it to
-	// maxCallBytes.
+	// limitedConn limits the bytes read per call, and the time of each read. The field
+	// remaining is the number of bytes that may still be read; session.Deliver resets it
+	// to maxCallBytes.
 	limitedConn struct {
 		net.Conn
-		remaining atomic.Int64
+		idleTimeout time.Duration
+		remaining   atomic.Int64
 	}
 )
 
@@ -244,6 +247,8 @@
 		s.conn.Conn = tlsConn
 	}
 	s.conn.remaining.Store(maxCallBytes)
+	// Senders close idle connections earlier, unless their VM is gone.
+	s.conn.idleTimeout = 2 * cmp.Or(t.idleTimeout, senderIdleTimeout)
 	server := rpc.NewServer()
 	if err := server.RegisterName(serviceName, s); err != nil {
 		return
@@ -277,11 +282,14 @@
 }
 
 // Read returns a replica.TooLargeError once the limit of the current call is
-// reached.
+// reached, and a timeout if no data arrive for idleTimeout.
 func (c *limitedConn) Read(p []byte) (int, error) {
 	if c.remaining.Load() <= 0 {
 		return 0, &replica.TooLargeError{Size: maxCallBytes, Limit: maxCallBytes}
 	}
+	if err := c.SetReadDeadline(time.Now().Add(c.idleTimeout)); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	c.remaining.Add(int64(-n))
 	return n, err
@@ -296,6 +304,9 @@
 		t.counters.dropped.Add(1)
 		return
 	}
+	// The lock ensures that the sender of the queue does not end meanwhile.
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	select {
 	case t.queue(e.To) <- e.Message:
 	default:
@@ -305,10 +316,8 @@
 }
 
 // queue returns the queue of a peer. The first call for a peer starts the
-// sender of the queue. If Run is not running, queue returns nil.
+// sender of the queue. If Run is not running, queue returns nil. The caller must hold mu.
 func (t *Transport) queue(peer fleet.VMID) chan replica.Message {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	if t.ctx == nil || t.closed {
 		return nil
 	}
@@ -321,3 +330,14 @@
 	go s.run(t.ctx)
 	return s.queue
 }
+
+// removeIdle removes the queue of a sender, unless there are messages to send.
+func (t *Transport) removeIdle(s *sender) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(s.queue) > 0 || len(s.batch) > 0 {
+		return false
+	}
+	delete(t.peers, s.peer)
+	return true
+}
--- a/internal/replication/transport_test.go
+++ b/internal/replication/transport_test.go
@@ -81,24 +81,41 @@
 
 // open runs a transport on a loopback port, and stores its address in addresses.
 func open(t *testing.T, self fleet.VMID, keys *KeyStore, addresses *sync.Map) *testTransport {
-	return openLogged(t, self, keys, addresses, nil)
+	t.Helper()
+	return openWith(t, self, keys, addresses, senderIdleTimeout, nil)
 }
 
-// openLogged runs a transport with a log, like open.
+// openIdle is open with a timeout for idle peers.
+func openIdle(t *testing.T, self fleet.VMID, keys *KeyStore, addresses *sync.Map, idleTimeout time.Duration) *testTransport {
+	t.Helper()
+	return openWith(t, self, keys, addresses, idleTimeout, nil)
+}
+
+// openLogged is open with a log.
 func openLogged(t *testing.T, self fleet.VMID, keys *KeyStore, addresses *sync.Map, log *zap.Logger) *testTransport {
+	t.Helper()
+	return openWith(t, self, keys, addresses, senderIdleTimeout, log)
+}
+
+func openWith(t *testing.T, self fleet.VMID, keys *KeyStore, addresses *sync.Map, idleTimeout time.Duration, log *zap.Logger) *testTransport {
+	t.Helper()
 	listener := must(net.Listen("tcp", "127.0.0.1:0"))
 	addresses.Store(self, listener.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
 	tr := &testTransport{received: make(chan fleet.VMID, 100)}
-	tr.Transport = &Transport{Self: self, Listener: listener, Keys: keys, Log: log,
+	tr.Transport = &Transport{Self: self, Listener: listener, Keys: keys, Log: log, idleTimeout: idleTimeout,
 		Address: func(vm fleet.VMID) string { address, _ := addresses.Load(vm); return address.(string) },
 		Deliver: func(from fleet.VMID, m replica.Message) bool {
 			if deliver, ok := tr.deliver.Load().(func(replica.Message) bool); ok {
 				return deliver(m)
 			}
-			tr.received <- from
+			// Deliver must not block once Run ends.
+			select {
+			case tr.received <- from:
+			case <-ctx.Done():
+			}
 			return true
 		}}
-	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- tr.Run(ctx) }()
 	t.Cleanup(func() {
@@ -107,7 +124,12 @@
 			t.Errorf("Run: got %v, want no error", err)
 		}
 	})
-	if !eventually(func() bool { return tr.queue(self) != nil }) {
+	running := func() bool {
+		tr.mu.Lock()
+		defer tr.mu.Unlock()
+		return tr.queue(self) != nil
+	}
+	if !eventually(running) {
 		t.Fatal("the transport is not running")
 	}
 	return tr
