hub: the test of the metrics needs messages that were sent

A collector with another transport than the hub's passed the test: it only asked for the name of the metric, and now for a value above zero.

--- a/internal/hub/observe_test.go
+++ b/internal/hub/observe_test.go
@@ -84,12 +84,15 @@
 			}
 			for _, want := range []string{
 				"bamboowalk_replica_voters 3\n", "bamboowalk_replica_learners 0\n", "bamboowalk_replica_tolerance 1\n",
-				"bamboowalk_replica_leader_unknown_seconds 0\n", `bamboowalk_replica_transport_messages_total{result="sent"}`,
+				"bamboowalk_replica_leader_unknown_seconds 0\n", `bamboowalk_replica_transport_messages_total{result="sent"} `,
 			} {
 				if !strings.Contains(text, want) {
 					return fmt.Errorf("hub %d: got no %s", i, want)
 				}
 			}
+			if strings.Contains(text, `bamboowalk_replica_transport_messages_total{result="sent"} 0`) {
+				return fmt.Errorf("hub %d: got no messages sent", i)
+			}
 		}
 		if leaders != 1 {
 			return fmt.Errorf("got %d hubs that know how many voters may be lost, want 1", leaders)
