--- a/pkg/replica/doc.go
+++ b/pkg/replica/doc.go
@@ -43,6 +43,11 @@
 //     has answered a heartbeat round that was sent after the read was
 //     requested.
 //
+// Events: each Output holds the events by which a replica reports what it decides
+// about the members of the log, and what it waits for. They have no effect on
+// decisions. Their number is limited by the election clock, so that a caller may
+// write a log line for each.
+//
 // Time: the argument now should have a monotonic clock reading. Only
 // differences are used, except for Entry.Stamp. A replica keeps two clocks. The
 // lease clock advances by the whole difference between the times of two calls.
