gateway: restored state that no majority confirms takes no new flows for long

What callers saw: after a loss of power, requests were handled by a configuration older than the acknowledged one for as long as no hub had a majority.

Cause: an entry VM that starts obeys what a hub has restored from its file "published". The file may be older than what was acknowledged, the state was meant to bridge an election, and nothing ended its use.

The greeting of a hub tells for how long its process has run without having been current. 3 s after the start of that hub, an entry VM that has only such state resets new flows (Unconfirmed), fails its health check, logs it once, and goes on forwarding packets of open flows. The state is confirmed once a hub that the VM follows is or was current, or such a hub turns out to have nothing newer. It then stays confirmed, because catalog and zones of a VM never go back. So cuts change nothing for VMs that run on, nor for VMs that start at a hub that runs on (TestConfirmedStateOutlastsCut). A greeting without the field means no limit.

The time counts from the start of the hub, not from that of the VM or from the first update: it can then not be extended by following another hub, and ends before 4 s, from which on the platform expects machines to obey what was acknowledged. docs/platform.md weighs serving on without a limit.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/goleak"
 
 	"bamboowalk.org/bamboowalk/pkg/catalog"
@@ -287,6 +288,49 @@
 	current(true, "one silence limit after a suspension")
 }
 
+// Guards against an entry VM that can't tell state which a majority has confirmed from
+// state that a hub has only restored, and that refuses flows at hubs of earlier versions.
+func TestGreetingTellsConfirmation(t *testing.T) {
+	now := time.Now()
+	s := NewStore(Hub{VM: "a"}, registry.New(3*time.Second, now), now)
+	unconfirmed := func(want time.Duration, when string) {
+		t.Helper()
+		if got := s.greeting(now).UnconfirmedFor; got != want {
+			t.Errorf("%s: got unconfirmed for %v, want %v", when, got, want)
+		}
+	}
+	unconfirmed(1, "at the start")
+	now = now.Add(700 * time.Millisecond)
+	unconfirmed(700*time.Millisecond, "before the election")
+	s.SetHubs([]fleet.VMID{"a"}, true)
+	unconfirmed(0, "with a majority")
+	s.SetHubs([]fleet.VMID{"a"}, false)
+	now = now.Add(time.Hour)
+	unconfirmed(0, "in a cut")
+
+	// earlier is the greeting of versions without the field.
+	type earlier struct {
+		Number  catalog.Number `cbor:"1,keyasint"`
+		Current bool           `cbor:"2,keyasint,omitempty"`
+	}
+	var g Greeting
+	b, err := cbor.Marshal(earlier{Number: 7})
+	if err == nil {
+		err = cbor.Unmarshal(b, &g)
+	}
+	if err != nil || g.Number != 7 || g.UnconfirmedFor != 0 {
+		t.Errorf("greeting of an earlier version: got %+v, %v, want number 7, not unconfirmed", g, err)
+	}
+	var e earlier
+	b, err = cbor.Marshal(Greeting{Number: 7, UnconfirmedFor: time.Second})
+	if err == nil {
+		err = cbor.Unmarshal(b, &e)
+	}
+	if err != nil || e.Number != 7 {
+		t.Errorf("greeting at an earlier version: got %+v, %v, want number 7", e, err)
+	}
+}
+
 // firstUpdate returns the first update of an entry VM.
 func firstUpdate(t *testing.T, s *Store, now time.Time) *Update {
 	t.Helper()
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -57,6 +57,11 @@
 		Current bool `cbor:"2,keyasint,omitempty"`
 		// ZoneRevision is the revision of the publisher's zones.
 		ZoneRevision catalog.ZoneRevision `cbor:"3,keyasint,omitempty"`
+		// UnconfirmedFor is the time since the start of the publisher's process if the
+		// publisher has not been Current since then, so that no majority of the control
+		// VMs has confirmed the state that it has restored. It is 0 if the publisher has
+		// been Current, and if its version does not know the field.
+		UnconfirmedFor time.Duration `cbor:"4,keyasint,omitempty"`
 	}
 
 	// Update holds the changes since the previous update. The first update of a
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -25,6 +25,9 @@
 	// leaderKnown is set while this hub knows the leader of a majority of the hubs.
 	current, leaderKnown bool
 	complete             bool
+	// wasCurrent is set once current has been set since startedAt, the start of the process.
+	wasCurrent bool
+	startedAt  time.Time
 	// fullFrom holds the hubs that have sent their full state since the start, and
 	// settled is set one silence limit after the start, at settledAt.
 	fullFrom  map[fleet.VMID]bool
@@ -86,6 +89,7 @@
 		completeAt:    now.Add(targets.SilenceLimit),
 		settledAt:     now.Add(targets.SilenceLimit),
 		lastRun:       now,
+		startedAt:     now,
 		entryFeed:     newFeedState(Entry),
 		controlFeed:   newFeedState(Control),
 		connections:   make(map[fleet.VMID]*Hello),
@@ -157,6 +161,7 @@
 	current := s.leaderKnown && (s.settled || n > len(s.hubs)/2)
 	if current != s.current {
 		s.current = current
+		s.wasCurrent = s.wasCurrent || current
 		s.notify()
 	}
 }
@@ -438,7 +443,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.noticeSuspension(now)
-	return &Greeting{Number: s.catalog.Number(), Current: s.current, ZoneRevision: s.zoneOrders.Revision}
+	g := &Greeting{Number: s.catalog.Number(), Current: s.current, ZoneRevision: s.zoneOrders.Revision}
+	if !s.wasCurrent {
+		g.UnconfirmedFor = max(now.Sub(s.startedAt), 1)
+	}
+	return g
 }
 
 // reportsFor returns the reports that are sent to subscribers of a role.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -104,13 +104,16 @@
 		salt    uint64
 		backlog steering.Backlog
 		// held is signalled when an opening packet is held.
-		held       chan struct{}
-		conn       *net.UDPConn
-		follower   follower
-		checker    checker
-		observer   observer
-		ready      atomic.Bool
-		draining   atomic.Bool
+		held     chan struct{}
+		conn     *net.UDPConn
+		follower follower
+		checker  checker
+		observer observer
+		ready    atomic.Bool
+		draining atomic.Bool
+		// refusing is set if the last line of logConfirmation says that new flows are
+		// refused. Only the goroutine of runTicks uses it.
+		refusing   bool
 		packets    atomic.Uint64
 		invalid    atomic.Uint64
 		suspension steering.Suspension
@@ -147,8 +150,11 @@
 func (e *SocketError) Unwrap() error { return e.Err }
 
 // Ready reports whether the VM has received the state that it needs to forward
-// packets, and is not draining.
-func (d *Daemon) Ready() bool { return d.ready.Load() && !d.draining.Load() }
+// packets, does not refuse new flows because the state is not confirmed, and is not
+// draining.
+func (d *Daemon) Ready() bool {
+	return d.ready.Load() && !d.draining.Load() && !d.core.Refuses(time.Now())
+}
 
 // SetSeeds replaces the configured addresses of hubs. It is safe for concurrent
 // use, but has no effect before Run, which sets the seeds of the settings.
@@ -206,7 +212,12 @@
 	}
 	d.Log.Info("entry VM started", zap.String("Zone", string(d.Settings.Zone)))
 	group.Go(func() error { return d.follower.run(workCtx) })
-	group.Go(func() error { return runTicks(workCtx, runInterval, d.observeRun) })
+	group.Go(func() error {
+		return runTicks(workCtx, runInterval, func(now time.Time) {
+			d.observeRun(now)
+			d.logConfirmation(now)
+		})
+	})
 	group.Go(func() error { return d.receive(workCtx) })
 	group.Go(func() error { return d.checker.run(workCtx) })
 	if d.Settings.LoadReports {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -86,6 +86,8 @@
 		seeds  []fleet.VMID
 		hubs   []feed.Hub
 		mirror mirror
+		// confirmation tells whether the state in mirror is confirmed.
+		confirmation confirmation
 		// unanswered holds the hubs that have accepted a connection and have not sent a
 		// greeting since.
 		unanswered map[fleet.VMID]*unansweredHub
@@ -116,6 +118,9 @@
 		// VM's, so that the hub may lack zone orders in force. ahead is set if the hub's
 		// catalog or zones were newer than this VM's.
 		behind, ahead bool
+		// unconfirmedSince is the start of the hub if no majority has confirmed its state
+		// since, or the zero time.
+		unconfirmedSince time.Time
 	}
 )
 
@@ -337,10 +342,15 @@
 		return nil
 	}
 	g := &sub.Greeting
-	return &hubFeed{
+	f.greeted(g)
+	s := &hubFeed{
 		hub: id, feed: sub, behind: g.ZoneRevision < hello.ZoneRevision,
 		ahead: g.Number > hello.Number || g.ZoneRevision > hello.ZoneRevision,
 	}
+	if g.UnconfirmedFor > 0 {
+		s.unconfirmedSince = time.Now().Add(-g.UnconfirmedFor)
+	}
+	return s
 }
 
 // nextCandidate returns the index of the candidate for the given attempt: the next
@@ -417,6 +427,7 @@
 		if u.Dropped > 0 {
 			f.Log.Warn("invalid records of a hub left out", zap.String(logging.Hub, string(s.hub)), zap.Int("Records", u.Dropped))
 		}
+		f.updateConfirmation(s, u)
 		err = f.applyUpdate(u, now)
 		if u.Current || lastCurrent.IsZero() {
 			lastCurrent = now
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -43,6 +43,7 @@
 	numberDesc        = newDesc("catalog_number", "Number of the catalog in force at this VM.")
 	catalogAgeDesc    = newDesc("catalog_age_seconds", "Time since the catalog came into force at this VM.")
 	feedAgeDesc       = newDesc("feed_age_seconds", "Time since the last update of a hub.")
+	unconfirmedDesc   = newDesc("state_unconfirmed_seconds", "Time since the start of the hub that has restored this VM's state, 0 if a majority of hubs has confirmed the state.")
 	feedsDesc         = newDesc("feeds_total", "Feeds of hubs that have begun.")
 	checksDesc        = newDesc("target_checks_total", "Health checks of targets in doubt, by result.", "result")
 	zonesDesc         = newDesc("zone_revision", "Revision of the zone orders in force at this VM.")
@@ -68,7 +69,7 @@
 	return []*prometheus.Desc{
 		packetsDesc, invalidDesc, staleDesc, failedSendsDesc, flowsDesc, suspectedDesc, doubtsDesc, lostDesc, overdueDesc, coldDesc, heldDesc, waitingDesc,
 		limitDesc, inFlightDesc, slowDesc, fleetSlotsDesc, fleetInFlightDesc, loadAgeDesc, loadReportsDesc, targetsDesc, numberDesc, catalogAgeDesc,
-		feedAgeDesc, feedsDesc, checksDesc, zonesDesc, evacuatedDesc, leftOutDesc, droppedDesc, <-descs, <-descs,
+		feedAgeDesc, unconfirmedDesc, feedsDesc, checksDesc, zonesDesc, evacuatedDesc, leftOutDesc, droppedDesc, <-descs, <-descs,
 	}
 }
 
@@ -143,6 +144,7 @@
 	gauge(numberDesc, float64(number))
 	gauge(catalogAgeDesc, catalogAge.Seconds())
 	gauge(feedAgeDesc, feedAge.Seconds())
+	gauge(unconfirmedDesc, f.unconfirmedAge(now).Seconds())
 	counter(feedsDesc, f.feedsStarted.Load())
 	counter(checksDesc, c.d.checker.passed.Load(), "passed")
 	counter(checksDesc, c.d.checker.failed.Load(), "failed")
--- a/pkg/steering/admit.go
+++ b/pkg/steering/admit.go
@@ -147,7 +147,10 @@
 			delete(c.held, flow)
 			c.waiting.Add(-1)
 			d := Decision{Op: Reset, Cause: Cause(released.Cause), Service: h.service}
-			if released.Admitted {
+			switch {
+			case released.Admitted && c.refuses(now):
+				d.Cause = CauseUnconfirmed
+			case released.Admitted:
 				d = c.openHeld(h, now)
 			}
 			d.Admission = &released.State
--- a/pkg/steering/core.go
+++ b/pkg/steering/core.go
@@ -46,6 +46,7 @@
 	CauseCallerShare   Cause = "CallerShare"   // the same, and the caller sends more than twice its fair share
 	CauseRetryBudget   Cause = "RetryBudget"   // the same, and the caller was refused shortly before
 	CauseTargetLost    Cause = "TargetLost"    // the target of the flow is lost, and the request may be repeated
+	CauseUnconfirmed   Cause = "Unconfirmed"   // no majority of the control VMs has confirmed the view in time
 )
 
 // Causes lists all causes.
@@ -53,6 +54,7 @@
 	CauseOpened, CauseCopy, CauseFlow, CauseCookie, CauseNoCatalog, CauseNoRoute, CauseNoTarget, CauseNoCookie,
 	CauseUnknownCookie, CauseTargetGone, CauseEvacuated, CauseNoRegion, CauseOverload, CauseQueued, CauseNoRoom,
 	CauseCallerShare, CauseRetryBudget, CauseTargetLost,
+	CauseUnconfirmed,
 }
 
 const (
@@ -211,6 +213,8 @@
 		mu          sync.Mutex
 		view        *View
 		firstViewAt time.Time
+		// refuseFrom is the time from which new flows are refused, or zero.
+		refuseFrom  time.Time
 		flows       map[FlowKey]*flow
 		targetLoads map[Cookie]*targetLoad
 		// serviceLoads contains the load of the services. entryVMs is the number of
@@ -354,6 +358,11 @@
 
 // decideOpening returns the decision for an opening packet.
 func (c *Core) decideOpening(p *Packet, data []byte, now time.Time) Decision {
+	if c.refuses(now) {
+		if d, refused := c.refuseUnconfirmed(p); refused {
+			return d
+		}
+	}
 	r := c.view.routes[p.Flow.Route]
 	if r == nil {
 		return Decision{Op: Reset, Cause: CauseNoRoute}
