hub: a test measures how old the saved state is at an acknowledgement

So entry VMs that start after a loss of power directly after an acknowledgement begin with the older configuration on every hub, until a hub is current.

TestSavedStateAge fails if a file lags by more than two save intervals.

--- a/internal/hub/disk_test.go
+++ b/internal/hub/disk_test.go
@@ -14,6 +14,7 @@
 
 	"bamboowalk.org/bamboowalk/internal/fakedisk"
 	"bamboowalk.org/bamboowalk/internal/feed"
+	"bamboowalk.org/bamboowalk/pkg/catalog"
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"bamboowalk.org/bamboowalk/pkg/registry"
 	"bamboowalk.org/bamboowalk/pkg/replica"
@@ -212,3 +213,48 @@
 	}
 	return nil
 }
+
+// Guards against saved state that is older, at the acknowledgement of a document, than the
+// time for which the file may lag behind: entry VMs obey it after a loss of power.
+func TestSavedStateAge(t *testing.T) {
+	const limit = 2 * cacheInterval
+	c := newCluster(t, 3)
+	c.startAll(true)
+	c.put(1, 0, 1, 2)
+	var published, saved [3]time.Duration
+	behind := 0
+	for n := 2; n <= 9; n++ {
+		time.Sleep(time.Duration(n) * 130 * time.Millisecond) // at different times of a save interval
+		c.put(n, 0, 1, 2)
+		acked := time.Now()
+		for i := range c.seeds {
+			if c.checkSaved(i, n) != nil {
+				behind++
+			}
+		}
+		var seen [3]time.Duration
+		c.eventually("saved state", func() error {
+			var err error
+			for i, r := range c.hubs {
+				d := time.Since(acked)
+				if r.store.Number() < catalog.Number(n) {
+					published[i] = max(published[i], d)
+				}
+				if seen[i] == 0 && c.checkSaved(i, n) == nil {
+					seen[i] = d
+					saved[i] = max(saved[i], d)
+				}
+				if seen[i] == 0 {
+					err = fmt.Errorf("hub %d has not saved document %d", i, n)
+				}
+			}
+			return err
+		})
+	}
+	t.Logf("%d of 24 files were behind at the acknowledgement; published after %v at most, saved after %v at most, by hub", behind, published, saved)
+	for i := range c.seeds {
+		if saved[i] > limit {
+			t.Errorf("hub %d: a document was saved %v after its acknowledgement, want at most %v", i, saved[i], limit)
+		}
+	}
+}
