hub: a test for a hub without its replica

TestHubWithoutReplicaIsNotCurrent fails if a hub whose disk is full calls itself current while it publishes an older document than the acknowledged one.

--- a/internal/hub/disk_test.go
+++ b/internal/hub/disk_test.go
@@ -258,3 +258,40 @@
 		}
 	}
 }
+
+// Guards against a hub that calls itself current while its replica is down or behind, so
+// that entry VMs stay with it and obey an older configuration.
+func TestHubWithoutReplicaIsNotCurrent(t *testing.T) {
+	c := newCluster(t, 3)
+	for range c.seeds {
+		c.disks = append(c.disks, new(fakedisk.Disk))
+	}
+	c.startAll(true)
+	c.put(1, 0, 1, 2)
+	c.eventually("current", func() error {
+		if s := c.hubs[0].store.Stats(); !s.Current || s.Number != 1 {
+			return fmt.Errorf("got %+v", s)
+		}
+		return nil
+	})
+	c.disks[0].SetFull(true)
+	n := 1
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		n++
+		c.put(n, 1, 2, 0)
+		acked := time.Now()
+		for s := c.hubs[0].store.Stats(); s.Current && int(s.Number) < n; s = c.hubs[0].store.Stats() {
+			if time.Since(acked) > time.Second {
+				t.Fatalf("1 s after document %d was acknowledged: hub is current and publishes %d", n, s.Number)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	c.disks[0].SetFull(false)
+	c.eventually("current again", func() error {
+		if s := c.hubs[0].store.Stats(); !s.Current || int(s.Number) != n {
+			return fmt.Errorf("got %+v, want document %d", s, n)
+		}
+		return nil
+	})
+}
