hub: a hub whose disk hangs is not current

What callers would see: requests are handled by a configuration older than the acknowledged one, at entry VMs that follow a hub whose disk hangs.

Cause: the replica publishes whether it knows a leader after each step. A step that waits for the disk publishes nothing, so the hub stayed current, with the catalog from before, and entry VMs stayed with it for as long as the disk hung.

Evidence: TestHubWithHangingDiskIsNotCurrent without the change: 1.5 s after document 2 was acknowledged: hub is current and publishes 1

A hub whose replica has made no step for 1 s is not current until the next step. Steps come every 20 ms otherwise, also while nothing changes. Entry VMs stay for another second at most, which leaves the rest of the 3 s for the search.

--- a/internal/fakedisk/fakedisk.go
+++ b/internal/fakedisk/fakedisk.go
@@ -1,6 +1,7 @@
 package fakedisk
 
 import (
+	"sync"
 	"sync/atomic"
 	"syscall"
 
@@ -10,10 +11,12 @@
 type (
 	// Disk is a disk with room for everything, unless it is full. A full disk refuses to
 	// create files and to write to them, with the error ENOSPC; a write may have written
-	// a part of its bytes. It is safe for concurrent use.
+	// a part of its bytes. A sync of a file waits while the disk hangs. It is safe for
+	// concurrent use.
 	Disk struct {
 		full    atomic.Bool
 		refused atomic.Int64
+		hanging sync.RWMutex
 	}
 
 	directory struct {
@@ -35,6 +38,12 @@
 // SetFull makes the disk full, or makes room.
 func (d *Disk) SetFull(full bool) { d.full.Store(full) }
 
+// Hang makes the disk hang until the returned function is called.
+func (d *Disk) Hang() (resume func()) {
+	d.hanging.Lock()
+	return d.hanging.Unlock
+}
+
 // Refused returns the number of operations that were refused so far.
 func (d *Disk) Refused() int64 { return d.refused.Load() }
 
@@ -58,6 +67,13 @@
 	return &file{f, d.disk}, nil
 }
 
+// Sync waits while the disk hangs.
+func (f *file) Sync() error {
+	f.disk.hanging.RLock()
+	defer f.disk.hanging.RUnlock()
+	return f.File.Sync()
+}
+
 // Write writes p, or half of it if the disk is full.
 func (f *file) Write(p []byte) (int, error) {
 	if err := f.disk.check(); err != nil {
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -146,6 +146,15 @@
 	s.updateCurrent()
 }
 
+// ForgetLeader records that this hub does not know the leader until the next call of
+// SetHubs.
+func (s *Store) ForgetLeader() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaderKnown = false
+	s.updateCurrent()
+}
+
 // updateCurrent updates current. After a restart, the targets are those of the
 // cache file, which may be older than the end of a target that a majority has
 // acknowledged. The hub is therefore not current until it has received the full
--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -63,6 +63,11 @@
 	// reportInterval is the time between two aggregations of the reports where entry
 	// VMs share their measurements.
 	reportInterval = 20 * time.Millisecond
+	// stallLimit is the time without a step of the replica, for example because the disk
+	// hangs, after which the hub no longer counts as in contact with a majority. With the
+	// second for which entry VMs stay with such a hub, it is shorter than the 3 s within
+	// which the users' platform expects a change in force.
+	stallLimit = time.Second
 	// confirmTimeout bounds the wait until a majority of the hubs has acknowledged
 	// that a target is draining or gone. It is shorter than one second, which is
 	// the time that a target waits for the response.
@@ -100,9 +105,14 @@
 		connections limitListener
 		draining    atomic.Bool
 		// loop is nil while the replica is down.
-		loop    atomic.Pointer[replicaLoop]
-		role    string
-		members []replica.Member
+		loop atomic.Pointer[replicaLoop]
+		// steps counts the steps of the replica. lastSteps is its value at the last tick,
+		// and lastStepAt the time of the last tick at which it had changed.
+		steps      atomic.Uint64
+		lastSteps  uint64
+		lastStepAt time.Time
+		role       string
+		members    []replica.Member
 		// openDir returns the files of a directory; nil means those of the operating
 		// system.
 		openDir func(dir string) replica.FS
@@ -263,7 +273,7 @@
 		defer close(replicaStopped)
 		return d.runReplica(replicaCtx)
 	})
-	group.Go(func() error { return d.runTicks(ctx, tickInterval, d.store.Tick) })
+	group.Go(func() error { return d.runTicks(ctx, tickInterval, d.tick) })
 	if d.Settings.LoadReports {
 		group.Go(func() error { return d.runTicks(ctx, reportInterval, d.store.TickReports) })
 	}
@@ -398,6 +408,7 @@
 	for _, m := range members {
 		ids = append(ids, m.VM)
 	}
+	d.steps.Add(1)
 	d.store.SetHubs(ids, r.Leader() != "")
 	if role := r.Role(); role != d.role {
 		d.role = role
@@ -419,6 +430,16 @@
 	d.Log.Info("hubs of the log changed", zap.Any("Voters", voters), zap.Any("Learners", learners))
 }
 
+// tick checks for silent targets, and whether the replica runs.
+func (d *Daemon) tick(now time.Time) {
+	d.store.Tick(now)
+	if n := d.steps.Load(); n != d.lastSteps {
+		d.lastSteps, d.lastStepAt = n, now
+	} else if now.Sub(d.lastStepAt) > stallLimit {
+		d.store.ForgetLeader()
+	}
+}
+
 // catalogChanged publishes a committed catalog. It runs in the replica's goroutine.
 func (d *Daemon) catalogChanged(c *catalog.Catalog) {
 	d.Log.Info("catalog committed", zap.Uint64(logging.Number, uint64(c.Number)), zap.Int("Routes", len(c.Routes)))
--- a/internal/hub/disk_test.go
+++ b/internal/hub/disk_test.go
@@ -295,3 +295,37 @@
 		return nil
 	})
 }
+
+// Guards against a hub that calls itself current while its disk hangs, so that entry VMs
+// stay with it and obey an older configuration.
+func TestHubWithHangingDiskIsNotCurrent(t *testing.T) {
+	c := newCluster(t, 3)
+	for range c.seeds {
+		c.disks = append(c.disks, new(fakedisk.Disk))
+	}
+	c.startAll(true)
+	c.put(1, 0, 1, 2)
+	follower := 0
+	for follower < 2 && c.role(follower) == roleLeader {
+		follower++
+	}
+	current := func(i, n int) error {
+		if s := c.hubs[i].store.Stats(); !s.Current || int(s.Number) != n {
+			return fmt.Errorf("hub %d: current %v with document %d, want document %d", i, s.Current, s.Number, n)
+		}
+		return nil
+	}
+	c.eventually("current", func() error { return current(follower, 1) })
+	resume := c.disks[follower].Hang()
+	c.put(2, 0, 1, 2)
+	acked := time.Now()
+	for s := c.hubs[follower].store.Stats(); s.Current && s.Number < 2; s = c.hubs[follower].store.Stats() {
+		if time.Since(acked) > 1500*time.Millisecond {
+			t.Errorf("1.5 s after document 2 was acknowledged: hub is current and publishes %d", s.Number)
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	resume()
+	c.eventually("current again", func() error { return current(follower, 2) })
+}
