hub: a test for reads at a hub that has restarted

TestReadNeedsMajority fails if a hub that holds an older document returns it, or calls itself current, without a majority or before it has the newer document. It passes without a change: a read needs a round of a majority (QuorumReads).

--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -462,3 +462,41 @@
 	c.startAll(true)
 	c.put(1, 0)
 }
+
+// Guards against reads of an older document at a hub that has restarted and that has no
+// majority, or meets a majority with a newer document.
+func TestReadNeedsMajority(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startAll(true)
+	c.put(1, 0, 1, 2)
+	c.waitUpdate(0, func(u *feed.Update) bool { return u.Catalog != nil && u.Catalog.To == 1 })
+	c.hubs[0].stop()
+	c.put(2, 1, 2)
+	c.hubs[1].stop()
+	c.hubs[2].stop()
+	c.start(0, false)
+	c.waitUpdate(0, func(*feed.Update) bool { return true })
+	read := func() {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		if doc, err := c.hubs[0].Get(ctx); err == nil && doc.Number != 2 {
+			t.Fatalf("got document %d, want an error or document 2", doc.Number)
+		}
+	}
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		read()
+		if s := c.hubs[0].store.Stats(); s.Current {
+			t.Fatalf("hub without a majority is current with document %d", s.Number)
+		}
+	}
+	c.start(1, false)
+	c.eventually("majority", func() error {
+		read()
+		if s := c.hubs[0].store.Stats(); s.Number != 2 || !s.Current {
+			return fmt.Errorf("hub publishes document %d, current %v", s.Number, s.Current)
+		}
+		return nil
+	})
+	c.get(2, 0, 1)
+}
