hub: a restarted hub is current once it has applied its log

What callers would see: requests handled by an older configuration without the limit for restored state, at entry VMs that took it for confirmed.

Cause: a hub counted as current as soon as it knew a leader and had the targets of a majority. At that moment it still published the catalog and the zone orders that it had restored from its file, although its log held newer ones.

The hub now counts the leader as known once it has applied the committed entries that its log held when it was opened.

--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -134,9 +134,11 @@
 		machine *catalog.StateMachine
 		// lastAtOpen is the index of the last log entry when the replica was opened.
 		lastAtOpen replica.Index
-		// caughtUp is set once the state machine has applied the committed entries
-		// that the log contained when the replica was opened.
-		caughtUp atomic.Bool
+		// logApplied is set once the state machine has applied the committed entries that
+		// the log contained when the replica was opened. Only the replica's goroutine uses
+		// it. caughtUp is set once the replica also has a vote.
+		logApplied bool
+		caughtUp   atomic.Bool
 	}
 
 	// NotLeaderError reports that this hub is not the leader. Only the leader
@@ -333,7 +335,8 @@
 			seeds = s
 			r.SetPeers(idsOf(*s))
 		}
-		d.observe(r)
+		l.updateLogApplied()
+		d.observe(r, r.Leader() != "" && l.logApplied)
 		l.updateCaughtUp()
 	}
 	l.Init()
@@ -400,16 +403,16 @@
 }
 
 // observe publishes the members of the replicated log and whether a leader is
-// known, and logs changes of the members and of the replica's role. It runs in
-// the replica's goroutine after each step.
-func (d *Daemon) observe(r *replica.Replica) {
+// known whose log this hub has applied, and logs changes of the members and of the
+// replica's role. It runs in the replica's goroutine after each step.
+func (d *Daemon) observe(r *replica.Replica, leaderKnown bool) {
 	members := r.Members()
 	ids := make([]fleet.VMID, 0, len(members))
 	for _, m := range members {
 		ids = append(ids, m.VM)
 	}
 	d.steps.Add(1)
-	d.store.SetHubs(ids, r.Leader() != "")
+	d.store.SetHubs(ids, leaderKnown)
 	if role := r.Role(); role != d.role {
 		d.role = role
 		d.Log.Info("replica changed its role", zap.String(logging.Role, role), zap.String("Leader", string(r.Leader())),
--- a/internal/hub/disk_test.go
+++ b/internal/hub/disk_test.go
@@ -378,3 +378,50 @@
 	run(5*time.Second, false, false)
 	run(time.Second, true, true)
 }
+
+// Guards against a hub that calls itself current with restored state before it has applied
+// what its own log contains: entry VMs take the state as confirmed by a majority.
+func TestRestartedHubIsCurrentWithItsLog(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startAll(true)
+	c.put(1, 0, 1, 2)
+	var old [3][]byte
+	for i := range c.seeds {
+		c.eventually("saved state", func() error { return c.checkSaved(i, 1) })
+		b, err := os.ReadFile(filepath.Join(c.data(i), cacheFile))
+		if err != nil {
+			t.Fatal(err)
+		}
+		old[i] = b
+	}
+	c.put(2, 0, 1, 2)
+	for i := range c.seeds {
+		c.waitUpdate(i, func(u *feed.Update) bool { return u.Catalog != nil && u.Catalog.To == 2 })
+	}
+	for i := range c.seeds {
+		c.hubs[i].stop()
+		if err := os.WriteFile(filepath.Join(c.data(i), cacheFile), old[i], 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.startAll(false)
+	for i := range c.seeds {
+		c.waitUpdate(i, func(*feed.Update) bool { return true })
+	}
+	current := 0
+	for end := time.Now().Add(waitTimeout); current < 3 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		current = 0
+		for i, r := range c.hubs {
+			s := r.store.Stats()
+			if s.Current && s.Number < 2 {
+				t.Fatalf("hub %d is current with document %d, want 2", i, s.Number)
+			}
+			if s.Current {
+				current++
+			}
+		}
+	}
+	if current < 3 {
+		t.Errorf("got %d current hubs, want 3", current)
+	}
+}
--- a/internal/hub/zones.go
+++ b/internal/hub/zones.go
@@ -165,16 +165,23 @@
 	return &UnknownZoneError{Zone: zone}
 }
 
-// updateCaughtUp sets caughtUp. It runs in the replica's goroutine. A new
-// leader may remove entries that were not committed, so that the log can remain
-// shorter than it was.
+// updateLogApplied sets logApplied. It runs in the replica's goroutine. A new leader may
+// remove entries that were not committed, so that the log can remain shorter than it was.
+func (l *replicaLoop) updateLogApplied() {
+	if l.logApplied {
+		return
+	}
+	s := l.Replica.Stats()
+	l.logApplied = s.Leader != "" && (s.Applied >= l.lastAtOpen || s.Applied == s.LastIndex)
+}
+
+// updateCaughtUp sets caughtUp. It runs in the replica's goroutine.
 func (l *replicaLoop) updateCaughtUp() {
-	if l.caughtUp.Load() {
+	if l.caughtUp.Load() || !l.logApplied {
 		return
 	}
 	s := l.Replica.Stats()
-	voter := s.Role == roleFollower || s.Role == roleLeader
-	if voter && s.Leader != "" && (s.Applied >= l.lastAtOpen || s.Applied == s.LastIndex) {
+	if voter := s.Role == roleFollower || s.Role == roleLeader; voter && s.Leader != "" {
 		l.caughtUp.Store(true)
 	}
 }
