--- a/pkg/replica/sim_test.go
+++ b/pkg/replica/sim_test.go
@@ -197,8 +197,12 @@
 		clockRate    float64
 		clockOffset  time.Duration
 		busyUntil    time.Duration
-		proposals    map[ProposalID]func([]byte, error)
-		reads        map[ReadID]func(error)
+		// interval is the time in which the processor runs the process once, for a
+		// fifth of that time; 0 if it always runs it.
+		interval  time.Duration
+		peers     []fleet.VMID // Options.Peers
+		proposals map[ProposalID]func([]byte, error)
+		reads     map[ReadID]func(error)
 	}
 
 	// simulation simulates replicas, network, disks, clocks and clients in
@@ -212,6 +216,8 @@
 		timeScale         time.Duration // factor for the intervals of the protocol
 		events            []event
 		nodes             map[fleet.VMID]*node
+		vms               []fleet.VMID        // the keys of nodes, in a fixed order
+		leaders           map[Term]fleet.VMID // the leaders seen so far
 		blocked           map[[2]fleet.VMID]bool
 		lossRate          float64
 		hashes            map[Index]uint64
@@ -224,6 +230,8 @@
 		// autoMembership makes the leader admit and replace replicas without an
 		// operator, and stops clocks while machines are suspended.
 		autoMembership bool
+		// configure changes the options of a replica before it starts, if it is set.
+		configure func(*node, *Options)
 	}
 )
 
@@ -235,10 +243,10 @@
 
 func newSimulationWith(t *testing.T, seed uint64, timeScale time.Duration, injectedBug string, autoMembership bool) *simulation {
 	sim := &simulation{t: t, seed: seed, timeScale: timeScale, injectedBug: injectedBug, autoMembership: autoMembership, rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[fleet.VMID]*node{},
-		blocked: map[[2]fleet.VMID]bool{}, hashes: map[Index]uint64{}, lossRate: 0.01}
+		vms: vmNames, leaders: map[Term]fleet.VMID{}, blocked: map[[2]fleet.VMID]bool{}, hashes: map[Index]uint64{}, lossRate: 0.01}
 	members := voters(vmNames[:3+2*(seed%2)])
 	for _, id := range vmNames {
-		sim.nodes[id] = &node{id: id, disk: newDisk(sim.rng), clockRate: 0.98 + 0.04*sim.rng.Float64()}
+		sim.nodes[id] = &node{id: id, disk: newDisk(sim.rng), clockRate: 0.98 + 0.04*sim.rng.Float64(), peers: vmNames}
 	}
 	for _, m := range members {
 		n := sim.nodes[m.VM]
@@ -283,12 +291,15 @@
 	}
 	n.stateMachine = &appendMachine{sim: sim}
 	n.stateMachine.Restore(nil)
-	o := Options{Self: n.id, Incarnation: fleet.Incarnation(sim.now + 2), Peers: vmNames, FS: n.disk, StateMachine: n.stateMachine,
+	o := Options{Self: n.id, Incarnation: fleet.Incarnation(sim.now + 2), Peers: n.peers, FS: n.disk, StateMachine: n.stateMachine,
 		Rand: sim.rng, SnapshotEvery: 20, KeepEntries: 5, ChunkSize: 300,
 		ElectionTimeout: sim.timeScale * DefaultElectionTimeout, Heartbeat: sim.timeScale * DefaultHeartbeat}
 	if sim.autoMembership {
 		o.AutoAdmit, o.RemoveAfter, o.QuorumReads = true, sim.timeScale*3*time.Second, sim.injectedBug != "lease"
 	}
+	if sim.configure != nil {
+		sim.configure(n, &o)
+	}
 	r, err := Open(o, sim.clock(n))
 	if errors.Is(err, errInjected) {
 		n.disk.crash()
@@ -317,8 +328,8 @@
 // output of the call once the disk operations of the call have completed.
 func (sim *simulation) on(n *node, call func() Output) {
 	generation := n.generation
-	if n.busyUntil > sim.now {
-		sim.after(n.busyUntil-sim.now, func() {
+	if wake := n.nextRun(sim.now); wake > sim.now {
+		sim.after(wake-sim.now, func() {
 			if n.generation == generation && n.replica != nil {
 				sim.on(n, call)
 			}
@@ -336,7 +347,16 @@
 	})
 }
 
-// checkLeaders reports an old leader that has a valid lease while another
+// nextRun returns the time at which the node can process its next call.
+func (n *node) nextRun(now time.Duration) time.Duration {
+	wake := max(n.busyUntil, now)
+	if n.interval > 0 && wake%n.interval >= n.interval/5 {
+		wake = (wake/n.interval + 1) * n.interval
+	}
+	return wake
+}
+
+// checkLeaders reports a term with two leaders, and an old leader that has a valid lease while another
 // replica leads a later term. It does not check leases with autoMembership,
 // because clocks then stop during suspensions. It also calls checkPromotion.
 func (sim *simulation) checkLeaders() {
@@ -344,8 +364,15 @@
 	if newest != nil {
 		sim.checkPromotion(newest.replica)
 	}
-	for _, id := range vmNames {
+	for _, id := range sim.vms {
 		n := sim.nodes[id]
+		if r := n.replica; r != nil && r.role == roleLeader {
+			first, ok := sim.leaders[r.hard.Term]
+			if ok && first != id {
+				sim.t.Errorf("seed %d: term %d has the leaders %s and %s", sim.seed, r.hard.Term, first, id)
+			}
+			sim.leaders[r.hard.Term] = id
+		}
 		if n == newest || n.replica == nil || n.replica.role != roleLeader || sim.autoMembership {
 			continue
 		}
@@ -402,7 +429,7 @@
 		}
 		sim.after(time.Millisecond+sim.random(4*time.Millisecond), func() {
 			n := sim.nodes[e.To]
-			if n.replica == nil || sim.blocked[[2]fleet.VMID{from, e.To}] {
+			if n == nil || n.replica == nil || sim.blocked[[2]fleet.VMID{from, e.To}] {
 				return
 			}
 			m, err := DecodeMessage(data)
@@ -416,7 +443,7 @@
 
 func (sim *simulation) leader() *node {
 	var newest *node
-	for _, id := range vmNames {
+	for _, id := range sim.vms {
 		n := sim.nodes[id]
 		if n.replica != nil && n.replica.Role() == "Leader" && (newest == nil || n.replica.Stats().Term > newest.replica.Stats().Term) {
 			newest = n
