replica: gone voters don't outlast their successors' catch-up time

What callers would see: no leader, for good, after two control VMs were replaced and two more lost their disks, although each loss was tolerated.

Cause: after a change of the leader, a voter counts as answering for ElectionTimeout and is removed only RemoveAfter (3 s) later, unless the loss of one more voter would stop the log. The successors vote by then. With two voters gone, eight remain, of which six run. One may still be lost, so the removal waits, but two may not: four of eight are no quorum.

TestLeadersReplacedInPairs without the change: pair 1: got no leader that holds entry 15, want one

A silent voter is now removed after ElectionTimeout if the loss of Tolerance more voters, not only of one, would stop the log. With a tolerance of one, nothing changes. At least 2F+1 voters stay as before, so a voter that was removed with its disk intact is not needed by any quorum; it is admitted again when it answers.

--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -276,7 +276,7 @@
 
 // removableMember returns a removable member, or "" if there is none. A member is
 // removable after a silence of RemoveAfter, and a voter already after ElectionTimeout if
-// the loss of one more voter would stop the log.
+// the loss of Tolerance more voters would stop the log.
 //
 // A silent voter may be gone for good, and would then count against every quorum. Or
 // it may come back with its disk, and is then needed if others lose theirs. With at
@@ -290,7 +290,7 @@
 	c := r.config()
 	keepVoters := len(c.voters()) <= 2*r.opts.Tolerance+1
 	voterLimit := r.opts.RemoveAfter
-	if r.spareVoters() < 1 {
+	if r.spareVoters() < r.opts.Tolerance {
 		voterLimit = min(voterLimit, r.opts.ElectionTimeout)
 	}
 	for _, m := range c.Members {
--- a/pkg/replica/members_test.go
+++ b/pkg/replica/members_test.go
@@ -284,6 +284,36 @@
 	}
 }
 
+// Guards against gone voters that are kept for RemoveAfter after a change of the leader:
+// their successors vote by then, and the loss of two more VMs left four of eight voters.
+// Two VMs, of which one leads, may be lost at once as soon as the leader after those
+// before them has led for a little more than ElectionTimeout.
+func TestLeadersReplacedInPairs(t *testing.T) {
+	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 2}, sixVMs...)
+	running := slices.Clone(sixVMs)
+	for i := range 20 {
+		index := c.propose()
+		at := slices.Index(running, c.leader().self.VM)
+		running[0], running[at] = running[at], running[0]
+		c.lose(running[0], running[1])
+		running = slices.Clone(running[2:])
+		for j := range 2 {
+			vm := fleet.VMID(fmt.Sprint("n", 2*i+j))
+			running = append(running, vm)
+			c.start(vm, running[:3]...)
+		}
+		for end := c.now.Add(5 * time.Second); c.leader() == nil && c.now.Before(end); {
+			c.run(100 * time.Millisecond)
+		}
+		c.run(1800 * time.Millisecond)
+		if l := c.leader(); l == nil || l.commit < index {
+			t.Fatalf("pair %d: got no leader that holds entry %d, want one", i, index)
+		}
+	}
+	c.run(5 * time.Second)
+	c.checkMembers("after 20 pairs")
+}
+
 // Guards against the removal of voters that are only cut off: they are needed when
 // others lose their disks during the cut.
 func TestDisksLostDuringCut(t *testing.T) {
