replica: learners get committed entries only

What callers would see: no leader, for good, after the loss of a single disk while a newcomer is promoted.

Cause: a leader sent learners entries that were not committed. A learner could then be the only replica left that holds an entry of the newest term. With voters 0, 1, 2 and the learner 3, found by the model: - 2 leads in term 1, appends the promotion of 3, and is cut off. - 1 is elected in term 2 with the vote of 0. Its first entry reaches only 3, and 1 loses its disk. - 2 needs three of four votes by its config, and 3 rejects it: its own last term is 2. 0 needs two of three, and 2 rejects it. 3 is a learner and does not vote for itself. No replica can be elected, although a quorum of both configs has its disks.

What a learner holds is now a prefix of what every electable candidate holds, so it never rejects one of them for its log. The learner gets an entry with the message that follows its commit.

--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -262,13 +262,14 @@
 	}
 	for _, m := range r.config().Members {
 		if p := r.progress[m.VM]; p != nil {
-			r.replicate(m.VM, p, heartbeat)
+			r.replicate(&m, p, heartbeat)
 		}
 	}
 }
 
-func (r *Replica) replicate(to fleet.VMID, p *progress, heartbeat bool) {
-	if !r.recentlyActive(Identity{VM: to, Incarnation: p.incarnation}) {
+func (r *Replica) replicate(m *Member, p *progress, heartbeat bool) {
+	to, upTo := m.VM, r.sendableIndex(m)
+	if !r.recentlyActive(m.Identity) {
 		r.suspend(p)
 	}
 	if p.transfer != nil {
@@ -279,7 +280,7 @@
 	}
 	heartbeat = heartbeat || p.probeNow
 	p.probeNow = false
-	for heartbeat || !p.probing && p.next <= r.lastIndex() && r.hasWindow(p) {
+	for heartbeat || !p.probing && p.next <= upTo && r.hasWindow(p) {
 		if p.next <= r.base.Index {
 			r.startTransfer(to, p)
 			return
@@ -287,7 +288,7 @@
 		prev := Position{Index: p.next - 1, Term: r.termAt(p.next - 1)}
 		var entries []Entry
 		if !p.probing && r.hasWindow(p) {
-			entries = r.batch(p.next)
+			entries = r.batch(p.next, upTo)
 			p.recordSent(entries)
 		}
 		r.send(to, Message{Kind: Append, Term: r.hard.Term, To: p.incarnation, Position: prev, Commit: r.commit, Entries: entries, Round: r.round})
@@ -296,6 +297,18 @@
 	}
 }
 
+// sendableIndex returns the index up to which entries are sent to a member. Learners get
+// only committed entries. Otherwise, a learner could be the only one that still holds an
+// entry of the newest term. It would reject a candidate that counts it as a voter by a
+// config that is not committed, could not become a candidate itself, and no leader could
+// be elected although a quorum has its disks.
+func (r *Replica) sendableIndex(m *Member) Index {
+	if m.Voter {
+		return r.lastIndex()
+	}
+	return r.commit
+}
+
 // suspend ends the sending of entries or of a snapshot to a member that does not answer:
 // they would only accumulate. Heartbeats without entries then ask the member where its
 // log ends, from the start of the log on if that is later than the next entry to send.
@@ -334,10 +347,13 @@
 	p.inflight = p.inflight[n:]
 }
 
-// batch returns a copy of the next entries to send, starting with index from:
-// at most MaxBatch bytes, but at least one entry.
-func (r *Replica) batch(from Index) []Entry {
-	rest := r.log[from-r.base.Index-1:]
+// batch returns a copy of the next entries to send, starting with index from and up to
+// upTo: at most MaxBatch bytes, but at least one entry if there is one.
+func (r *Replica) batch(from, upTo Index) []Entry {
+	if from > upTo {
+		return nil
+	}
+	rest := r.log[from-r.base.Index-1 : upTo-r.base.Index]
 	size := 0
 	for i := range rest {
 		size += len(rest[i].Data)
--- a/pkg/replica/members_test.go
+++ b/pkg/replica/members_test.go
@@ -22,13 +22,23 @@
 	cut      map[fleet.VMID]bool
 	interval time.Duration // between two calls of Tick
 	events   map[fleet.VMID][]Event
+	// slowDisk is the time that a sync takes. Messages that arrive meanwhile are
+	// processed together after it.
+	slowDisk map[fleet.VMID]time.Duration
+	delayed  map[fleet.VMID][]delayedMessage
+}
+
+// delayedMessage is a message that arrived while a disk was busy.
+type delayedMessage struct {
+	from fleet.VMID
+	Message
 }
 
 // newMemberCluster starts a log with three initial members, and admits the other VMs.
 func newMemberCluster(t *testing.T, opts Options, vms ...fleet.VMID) *memberCluster {
 	c := &memberCluster{
 		t: t, now: time.Unix(1e9, 0), opts: opts, disks: map[fleet.VMID]*disk{}, replicas: map[fleet.VMID]*Replica{}, cut: map[fleet.VMID]bool{},
-		interval: 20 * time.Millisecond, events: map[fleet.VMID][]Event{},
+		interval: 20 * time.Millisecond, events: map[fleet.VMID][]Event{}, slowDisk: map[fleet.VMID]time.Duration{}, delayed: map[fleet.VMID][]delayedMessage{},
 	}
 	c.opts.AutoAdmit, c.opts.QuorumReads = true, true
 	first := voters(vms[:3])
@@ -90,7 +100,12 @@
 	}
 	c.events[from] = append(c.events[from], out.Events...)
 	for _, e := range out.Envelopes {
-		if r := c.replicas[e.To]; r != nil && !c.cut[from] && !c.cut[e.To] {
+		r := c.replicas[e.To]
+		switch {
+		case r == nil || c.cut[from] || c.cut[e.To]:
+		case c.slowDisk[e.To] > 0:
+			c.delayed[e.To] = append(c.delayed[e.To], delayedMessage{from, e.Message})
+		default:
 			c.deliver(e.To, r.Handle(from, e.Message, c.now))
 		}
 	}
@@ -101,9 +116,20 @@
 	for end := c.now.Add(d); c.now.Before(end); {
 		c.now = c.now.Add(c.interval)
 		for _, vm := range slices.Sorted(maps.Keys(c.replicas)) {
-			if r := c.replicas[vm]; r != nil {
-				c.deliver(vm, r.Tick(c.now))
+			r := c.replicas[vm]
+			if r == nil {
+				continue
 			}
+			if d := c.slowDisk[vm]; d > 0 {
+				if c.now.UnixNano()%int64(d) >= int64(c.interval) {
+					continue
+				}
+				for _, m := range c.delayed[vm] {
+					r.Step(m.from, m.Message, c.now)
+				}
+				c.delayed[vm] = nil
+			}
+			c.deliver(vm, r.Tick(c.now))
 		}
 	}
 }
@@ -314,6 +340,32 @@
 	c.checkMembers("after 20 pairs")
 }
 
+// Guards against a learner that alone holds an entry of a leader that lost its disk: it
+// would reject each candidate that counts it as a voter already.
+func TestLearnersGetCommittedEntries(t *testing.T) {
+	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second}, "a", "b", "c")
+	l := c.leader()
+	c.start("x", "a", "b", "c")
+	for end := c.now.Add(3 * time.Second); l.progress["x"] == nil || l.progress["x"].match == 0; c.run(20 * time.Millisecond) {
+		if c.now.After(end) {
+			t.Fatal("x is not a member")
+		}
+	}
+	if l.config().find("x").Voter {
+		t.Fatal("x votes already")
+	}
+	for _, vm := range []fleet.VMID{"a", "b", "c"} {
+		c.cut[vm] = vm != l.self.VM
+	}
+	if _, err := l.Propose([]byte("x"), c.now); err != nil {
+		t.Fatal(err)
+	}
+	c.deliver(l.self.VM, l.Flush(c.now))
+	if got, want := c.replicas["x"].lastIndex(), l.commit; got > want || got == 0 {
+		t.Errorf("log of the learner: got entries up to %d, want up to %d", got, want)
+	}
+}
+
 // Guards against the removal of voters that are only cut off: they are needed when
 // others lose their disks during the cut.
 func TestDisksLostDuringCut(t *testing.T) {
--- a/pkg/replica/model_test.go
+++ b/pkg/replica/model_test.go
@@ -79,6 +79,14 @@
 		// changeBeforeCommit lets a leader change the config before an entry of
 		// its own term is committed.
 		keepIncarnation, changeBeforeCommit bool
+		// automatic applies the rules of manageMembers, with concurrentLosses as the
+		// tolerance, instead of those for operators. The model then also checks that
+		// the replicas that have their disks can elect a leader that holds every
+		// acknowledged entry. With removeBelow, voters are also removed when no more
+		// than 2*tolerance+1 are left.
+		automatic, removeBelow bool
+		// uncommittedToLearners lets leaders send learners entries that are not committed.
+		uncommittedToLearners bool
 	}
 
 	// changeModel explores all states within the bounds.
@@ -209,6 +217,9 @@
 // the leader's config keep their incarnation and have no higher term than the
 // leader.
 func (m *changeModel) check(s *modelState) {
+	if m.automatic {
+		m.checkElectable(s)
+	}
 	for i := range s.vms {
 		l := &s.vms[i]
 		if !l.isLeader || l.commit < l.noop() {
@@ -230,6 +241,65 @@
 	}
 }
 
+// checkElectable reports a state in which no replica could be elected if all replicas
+// were connected, or none that holds the acknowledged entries.
+func (m *changeModel) checkElectable(s *modelState) {
+	for i := range m.replicas + m.spares {
+		v := &s.vms[i]
+		c, _ := v.config()
+		if c == nil || c[i] != (modelMember{modelVoter, v.incarnation}) {
+			continue
+		}
+		ids, quorum := c.voters()
+		votes := 0
+		for _, j := range ids {
+			f := &s.vms[j]
+			upToDate := v.lastTerm() > f.lastTerm() || v.lastTerm() == f.lastTerm() && v.length >= f.length
+			if c[j].incarnation == f.incarnation && upToDate {
+				votes++
+			}
+		}
+		if votes < quorum {
+			continue
+		}
+		for d := range s.nextData {
+			if s.ackedData&(1<<d) != 0 && !v.holds(d, v.length) {
+				m.violation = fmt.Sprintf("replica %d can be elected without acknowledged entry %d", i, d)
+			}
+		}
+		return
+	}
+	m.violation = "no replica can be elected"
+}
+
+// lostDisks returns the number of disks that count as lost. With automatic, a lost disk
+// counts in each config that has it as a voter, and also while fewer voters than
+// 2*concurrentLosses+1 are left because its VM, or the one that replaces it, does not
+// vote yet.
+func (m *changeModel) lostDisks(s *modelState) int {
+	most := 0
+	for k := range m.replicas + m.spares {
+		c, _ := s.vms[k].config()
+		if c == nil {
+			continue
+		}
+		voters, lost, waiting := 0, 0, 0
+		for j := range m.replicas + m.spares {
+			switch {
+			case c[j].role == modelVoter:
+				voters++
+				if c[j].incarnation != s.vms[j].incarnation {
+					lost++
+				}
+			case s.vms[j].incarnation > 0:
+				waiting++
+			}
+		}
+		most = max(most, lost+min(waiting, max(0, 2*m.concurrentLosses+1-voters)))
+	}
+	return most
+}
+
 func (m *changeModel) pushSuccessors(s *modelState) {
 	for i := range m.replicas + m.spares {
 		// Lost elections raise the term of the candidate, so a term may be
@@ -312,6 +382,9 @@
 			}
 		}
 	}
+	if m.automatic {
+		lost = m.lostDisks(s)
+	}
 	if lost >= m.concurrentLosses {
 		return
 	}
@@ -352,7 +425,11 @@
 	for at < l.length && at < f.length && l.log[at] == f.log[at] {
 		at++
 	}
-	if at < l.length {
+	sendUpTo := l.length
+	if c[j].role == modelLearner && !m.uncommittedToLearners {
+		sendUpTo = l.commit
+	}
+	if at < sendUpTo {
 		f.log[at] = l.log[at]
 		for k := at + 1; k < f.length; k++ {
 			f.log[k] = modelEntry{}
@@ -408,9 +485,14 @@
 	if changes > m.configs {
 		return
 	}
+	goal := l.commit
+	if m.automatic {
+		// A learner may lag behind by the writes of an ElectionTimeout.
+		goal = l.noop()
+	}
 	caughtUp := func(j int) bool {
 		f := &s.vms[j]
-		return c[j].role == modelLearner && c[j].incarnation == f.incarnation && f.length >= l.commit && f.term == l.term
+		return c[j].role == modelLearner && c[j].incarnation == f.incarnation && f.length >= goal && f.term == l.term
 	}
 	hasCaughtUp := false
 	for j := range c {
@@ -429,6 +511,14 @@
 			next[j].role = modelVoter
 			m.propose(s, i, next)
 		}
+		if m.automatic {
+			if c[j].role == modelVoter && (len(ids) > 2*m.concurrentLosses+1 || m.removeBelow && len(ids) > 1) {
+				next = *c
+				next[j] = modelMember{}
+				m.propose(s, i, next)
+			}
+			continue
+		}
 		if c[j].role == modelVoter && (hasCaughtUp || len(ids)%2 == 0 && len(ids) != 2) {
 			next = *c
 			next[j] = modelMember{}
@@ -457,17 +547,28 @@
 		bounds        modelBounds
 		wantViolation bool
 	}{
-		"3 replicas, a loss and a replacement": {modelBounds{replicas: 3, spares: 1, concurrentLosses: 1, terms: 2, data: 1, configs: 1, totalLosses: 1}, false},
-		"3 replicas, two losses in turn":       {modelBounds{replicas: 3, concurrentLosses: 1, terms: 2, data: 1, configs: 2, totalLosses: 2}, false},
-		"6 replicas, two losses at once":       {modelBounds{replicas: 6, concurrentLosses: 2, terms: 2, data: 1, configs: 0, totalLosses: 2}, false},
-		"3 replicas, wider":                    {modelBounds{replicas: 3, spares: 1, concurrentLosses: 1, terms: 3, data: 2, configs: 3, totalLosses: 1}, false},
-		"4 replicas, change before commit":     {modelBounds{replicas: 4, spares: 1, learners: true, terms: 3, data: 1, configs: 1, changeBeforeCommit: true}, true},
-		"a VM keeps its incarnation":           {modelBounds{replicas: 3, concurrentLosses: 1, terms: 2, data: 1, totalLosses: 1, keepIncarnation: true}, true},
+		"3 replicas, a loss and a replacement":         {modelBounds{replicas: 3, spares: 1, concurrentLosses: 1, terms: 2, data: 1, configs: 1, totalLosses: 1}, false},
+		"3 replicas, two losses in turn":               {modelBounds{replicas: 3, concurrentLosses: 1, terms: 2, data: 1, configs: 2, totalLosses: 2}, false},
+		"6 replicas, two losses at once":               {modelBounds{replicas: 6, concurrentLosses: 2, terms: 2, data: 1, configs: 0, totalLosses: 2}, false},
+		"3 replicas, wider":                            {modelBounds{replicas: 3, spares: 1, concurrentLosses: 1, terms: 3, data: 2, configs: 3, totalLosses: 1}, false},
+		"4 replicas, change before commit":             {modelBounds{replicas: 4, spares: 1, learners: true, terms: 3, data: 1, configs: 1, changeBeforeCommit: true}, true},
+		"3 replicas, automatic, a loss":                {modelBounds{replicas: 3, spares: 1, concurrentLosses: 1, terms: 2, data: 1, configs: 3, totalLosses: 1, automatic: true}, false},
+		"3 replicas, automatic, two losses in turn":    {modelBounds{replicas: 3, spares: 1, concurrentLosses: 1, terms: 2, data: 1, configs: 3, totalLosses: 2, automatic: true}, false},
+		"4 replicas, automatic, two losses in turn":    {modelBounds{replicas: 4, spares: 1, concurrentLosses: 1, terms: 2, data: 1, configs: 3, totalLosses: 2, automatic: true}, false},
+		"6 replicas, automatic, two losses at once":    {modelBounds{replicas: 6, concurrentLosses: 2, terms: 2, data: 1, configs: 2, totalLosses: 2, automatic: true}, false},
+		"3 replicas, automatic, removal of too many":   {modelBounds{replicas: 3, concurrentLosses: 1, terms: 2, data: 1, configs: 1, totalLosses: 1, automatic: true, removeBelow: true}, true},
+		"6 replicas, automatic, removal of too many":   {modelBounds{replicas: 6, concurrentLosses: 2, terms: 2, data: 1, configs: 2, totalLosses: 2, automatic: true, removeBelow: true}, true},
+		"3 replicas, learners get uncommitted entries": {modelBounds{replicas: 3, spares: 1, learners: true, concurrentLosses: 1, terms: 2, configs: 1, totalLosses: 1, automatic: true, uncommittedToLearners: true}, true},
+		"3 replicas, learners get committed entries":   {modelBounds{replicas: 3, spares: 1, learners: true, concurrentLosses: 1, terms: 2, configs: 1, totalLosses: 1, automatic: true}, false},
+		"a VM keeps its incarnation":                   {modelBounds{replicas: 3, concurrentLosses: 1, terms: 2, data: 1, totalLosses: 1, keepIncarnation: true}, true},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			stateLimit := limit
+			if c.bounds.automatic {
+				stateLimit /= 3
+			}
 			if c.wantViolation {
 				stateLimit = 8 * limit
 			}
