replica: learners with slow disks are promoted during continuous writes

What callers would see: a control VM with a slow disk that never votes, and a log that bears one loss less, for as long as commands are written.

Cause: a learner was promoted when its durable log held what had been committed at the previous heartbeat, 100 ms before. With a sync of 300 ms and 50 commands a second, it is always further behind.

The goal of a learner is now the commit index at a fixed moment. It is promoted if it reaches the goal within ElectionTimeout, and gets the present commit index as the next goal otherwise. The promotion does not touch safety: the leader's quorums count only what the new voter has made durable.

--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -266,12 +266,21 @@
 	}
 }
 
-// promotable reports whether a member is a reachable learner whose durable log
-// has reached the commit index of the previous periodic check and the first entry of
-// the leader's term.
+// promotable reports whether a member is a reachable learner whose durable log has
+// reached the first entry of the leader's term, and what was committed an ElectionTimeout
+// ago or later. A learner that reaches its goal later than that gets the present commit
+// index as the next goal. A smaller lag can't be asked for: with continuous writes, a
+// learner with a slow disk or processor always lags behind.
 func (r *Replica) promotable(m *Member) bool {
 	p := r.progress[m.VM]
-	return !m.Voter && p != nil && p.match >= max(r.commitAtCheck, r.noopIndex) && r.recentlyActive(m.Identity)
+	if m.Voter || p == nil || p.match < max(p.goal, r.noopIndex) || !r.recentlyActive(m.Identity) {
+		return false
+	}
+	inTime := r.electionClock-p.goalSet < r.opts.ElectionTimeout
+	if !inTime {
+		p.goal, p.goalSet = r.commit, r.electionClock
+	}
+	return inTime
 }
 
 // removableMember returns a removable member, or "" if there is none. A member is
--- a/pkg/replica/doc.go
+++ b/pkg/replica/doc.go
@@ -24,9 +24,9 @@
 //   - Votes and acknowledgements count for a pair of VM and incarnation, so
 //     nothing that an old incarnation acknowledged counts for the new one. The
 //     new incarnation is a learner and replaces the old one in the config. The
-//     leader promotes the learner once the learner's durable log reaches the
-//     commit index of the previous heartbeat and the first entry of the
-//     leader's term.
+//     leader promotes the learner once the learner's durable log has reached the
+//     first entry of the leader's term and a commit index that is less than
+//     ElectionTimeout old. Learners get committed entries only.
 //   - Consecutive configs differ by at most one voter. A config is proposed
 //     only after the previous config and an entry of the leader's own term are
 //     committed.
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -22,8 +22,6 @@
 		// heartbeats that reads cause don't count: with frequent reads, no check would
 		// be made.
 		lastCheck time.Duration
-		// commitAtCheck is the commit index at the last periodic check.
-		commitAtCheck Index
 		// roundTimes holds the time on the lease clock at which each heartbeat
 		// round was sent, starting with firstRound. Rounds before minLeaseRound
 		// give no lease.
@@ -48,7 +46,11 @@
 		probeNow    bool
 		round       uint64        // newest round that the member has answered
 		lastContact time.Duration // on the election clock
-		transfer    *snapshotTransfer
+		// goal is the index that a learner must reach in order to be promoted, and
+		// goalSet is the time on the election clock at which it was the commit index.
+		goal     Index
+		goalSet  time.Duration
+		transfer *snapshotTransfer
 		// inflight holds the batches that the member has not acknowledged, and
 		// inflightBytes is their size.
 		inflight      []sentBatch
@@ -107,7 +109,8 @@
 		}
 		// A new member counts as recently active at first. An unreachable
 		// member stops counting as active after ElectionTimeout without contact.
-		r.progress[m.VM] = &progress{incarnation: m.Incarnation, next: r.lastIndex() + 1, probing: true, lastContact: r.electionClock}
+		r.progress[m.VM] = &progress{incarnation: m.Incarnation, next: r.lastIndex() + 1, probing: true, lastContact: r.electionClock,
+			goal: r.commit, goalSet: r.electionClock}
 	}
 }
 
@@ -247,7 +250,6 @@
 	}
 	r.observeSilence()
 	r.manageMembers()
-	r.commitAtCheck = r.commit
 	r.heartbeatDue = true
 }
 
