replica: candidates repeat requests for votes

What callers would see: elections of four seconds and more, and with three control VMs, a successor that is not a safe voter by the end of its catch-up time.

Cause: a lost request or reply cost a candidate its whole election, and the next one began one to two ElectionTimeouts later. Where one of three VMs is gone, the votes of both others are needed.

TestLostVoteReply without the change: got no leader after 2.5s, for a lost PreVoteReply, Vote and VoteReply.

Voters that have not granted a vote are asked again at every second heartbeat. Voters answer a repeated request as the first one: a vote for the same candidate is granted again, and pre-votes have no effect on the state.

--- a/pkg/replica/election.go
+++ b/pkg/replica/election.go
@@ -168,13 +168,31 @@
 func (r *Replica) requestVotes(kind MessageKind, term Term, transfer bool) {
 	r.observeRequest(kind)
 	r.votes = map[Identity]bool{r.self: true}
+	r.sendVoteRequests(kind, term, transfer)
+	r.checkVotes()
+}
+
+// repeatVoteRequests asks the voters again that have not granted their vote, every second
+// heartbeat. A lost request, or a voter that still withheld its vote, would otherwise cost
+// another ElectionTimeout or two.
+func (r *Replica) repeatVoteRequests() {
+	switch {
+	case r.electionClock-r.votesRequested < 2*r.opts.Heartbeat:
+	case r.role == rolePreCandidate:
+		r.sendVoteRequests(PreVote, r.hard.Term+1, false)
+	case r.role == roleCandidate:
+		r.sendVoteRequests(Vote, r.hard.Term, false)
+	}
+}
+
+func (r *Replica) sendVoteRequests(kind MessageKind, term Term, transfer bool) {
+	r.votesRequested = r.electionClock
 	for _, id := range r.config().voters() {
-		if id == r.self {
+		if r.votes[id] {
 			continue
 		}
 		r.send(id.VM, Message{Kind: kind, Term: term, To: id.Incarnation, Position: r.lastPosition(), Transfer: transfer})
 	}
-	r.checkVotes()
 }
 
 func (r *Replica) countVote(from Identity, m *Message) {
--- a/pkg/replica/members_test.go
+++ b/pkg/replica/members_test.go
@@ -25,6 +25,7 @@
 	// slowDisk is the time that a sync takes. Messages that arrive meanwhile are
 	// processed together after it.
 	slowDisk map[fleet.VMID]time.Duration
+	drop     func(from fleet.VMID, m *Message) bool // reports whether a message is lost
 	delayed  map[fleet.VMID][]delayedMessage
 	syncing  map[fleet.VMID]Output // what the sync under way makes durable
 }
@@ -103,7 +104,7 @@
 	for _, e := range out.Envelopes {
 		r := c.replicas[e.To]
 		switch {
-		case r == nil || c.cut[from] || c.cut[e.To]:
+		case r == nil || c.cut[from] || c.cut[e.To] || c.drop != nil && c.drop(from, &e.Message):
 		case c.slowDisk[e.To] > 0:
 			c.delayed[e.To] = append(c.delayed[e.To], delayedMessage{from, e.Message})
 		default:
@@ -397,6 +398,26 @@
 	c.checkMembers("after the repair")
 }
 
+// Guards against an election that starts over, a whole timeout later, because one message
+// was lost. With a tolerance of one and a VM gone, both others must vote.
+func TestLostVoteReply(t *testing.T) {
+	for _, kind := range []MessageKind{PreVote, PreVoteReply, Vote, VoteReply} {
+		c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second}, "a", "b", "c")
+		c.lose(c.leader().self.VM)
+		lost := map[fleet.VMID]bool{}
+		c.drop = func(from fleet.VMID, m *Message) bool {
+			drop := m.Kind == kind && !lost[from]
+			lost[from] = lost[from] || drop
+			return drop
+		}
+		// The longest timeout is two ElectionTimeouts.
+		c.run(DefaultElectionTimeout * 5 / 2)
+		if c.leader() == nil {
+			t.Errorf("message kind %d lost: got no leader after %v, want one", kind, DefaultElectionTimeout*5/2)
+		}
+	}
+}
+
 // Guards against the removal of voters that are only cut off: they are needed when
 // others lose their disks during the cut.
 func TestDisksLostDuringCut(t *testing.T) {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -170,7 +170,9 @@
 		// leader was last heard from.
 		namedPeers []fleet.VMID
 		votes      map[Identity]bool
-		incoming   *incomingSnapshot
+		// votesRequested is the time on the election clock of the last vote requests.
+		votesRequested time.Duration
+		incoming       *incomingSnapshot
 
 		leaderState
 
@@ -341,6 +343,8 @@
 	default:
 		if r.electionClock >= r.electionDeadline {
 			r.startPreVote()
+		} else {
+			r.repeatVoteRequests()
 		}
 	}
 	return r.Flush(now)
