emulator: control VMs are replaced, and a final fault follows

Cause: the soak knew a fixed list of control VMs and no fault that takes most VMs at the same moment.

Change: a control VM can be removed for good, and another one with an empty data folder be added at a new address. Its connections go silent, dials to it hang, and the callers' list of control VMs and the seeds lag by Config.SeedLag. The final fault kills VMs right after a configuration was acknowledged, or 5 to 400 ms after it was sent; Config.Tolerance control VMs lose their data. The judge reports a configuration that cannot be read within the recovery time, and new flows that are forwarded as only older configurations allow. Processes may run with a quota.

--- a/cmd/bamboowalk/soak.go
+++ b/cmd/bamboowalk/soak.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -28,7 +29,13 @@
 		Count     int           `default:"1" help:"Number of seeds."`
 		Length    time.Duration `default:"12s" help:"Time in which faults begin."`
 		Entries   int           `default:"2" help:"Entry VMs in each of three zones."`
+		Controls  int           `default:"0" help:"Control VMs in each of three zones; left out, one, or two with --replace."`
 		Verbose   bool          `short:"v" help:"Print each step."`
+
+		Replace      bool    `help:"Replace control VMs, and end with a final fault."`
+		Script       int     `help:"With --replace: instead of random steps, replace this number of control VMs, without the leader among their seeds."`
+		ControlShare float64 `help:"Share of the time in which control VMs run, in periods of 100 ms; 0: all the time."`
+		EntryShare   float64 `help:"The same for entry VMs."`
 	}
 
 	// soakError reports the seeds of failed runs.
@@ -54,8 +61,13 @@
 	for i := range uint64(c.Count) {
 		seed := c.First + i
 		result, err := c.runSeed(ctx, seed, filepath.Join(dir, fmt.Sprint(seed)))
+		if ctx.Err() != nil {
+			return fmt.Errorf("seed %d: %w", seed, ctx.Err())
+		}
 		if err != nil {
-			return fmt.Errorf("seed %d: %w", seed, err)
+			fmt.Printf("seed %d: %v\n", seed, err)
+			failed = append(failed, seed)
+			continue
 		}
 		fmt.Printf("seed %d: ", seed)
 		result.Print(os.Stdout)
@@ -78,12 +90,15 @@
 		return nil, err
 	}
 	cfg := emulator.ExampleConfig()
-	cfg.Links, cfg.Entries = true, c.Entries
+	if c.Replace {
+		cfg = emulator.ReplacementConfig()
+	}
+	cfg.Links, cfg.Entries, cfg.Controls = true, c.Entries, cmp.Or(c.Controls, cfg.Controls)
 	p, err := emulator.New(cfg)
 	if err != nil {
 		return nil, err
 	}
-	s := &emulator.System{Platform: p, Binary: c.Binary, Templates: c.Templates, Dir: dir}
+	s := &emulator.System{Platform: p, Binary: c.Binary, Templates: c.Templates, Dir: dir, ControlShare: c.ControlShare, EntryShare: c.EntryShare}
 	defer func() {
 		p.Stop()
 		if err := s.KillAll(); err != nil {
@@ -95,7 +110,18 @@
 	if err := s.StartAndWait(startCtx); err != nil {
 		return nil, err
 	}
-	soak := &emulator.Soak{System: s, Steps: emulator.RandomSteps(seed, c.Length), Out: io.Discard}
+	soak := &emulator.Soak{System: s, Out: io.Discard}
+	switch {
+	case c.Script > 0:
+		soak.Steps = emulator.ReplacementScript(c.Script)
+	case c.Replace:
+		soak.Steps = emulator.RandomReplacementSteps(seed, c.Length)
+	default:
+		soak.Steps = emulator.RandomSteps(seed, c.Length)
+	}
+	if c.Replace {
+		soak.Final, soak.Bounds = emulator.RandomFinal(seed), emulator.ReplacementBounds()
+	}
 	if c.Verbose {
 		soak.Out = os.Stdout
 	}
