platform: SIGHUP no longer ends a VM that starts or drains

What callers would see: open flows that are cut off during a planned stop, and a VM that takes longer to start.

Cause: the handler for SIGHUP was installed after the settings had been read, and removed when SIGTERM arrived. At the start and during the drain, SIGHUP, with which the platform announces changed settings, ended the process.

--- a/cmd/bamboowalkd/main.go
+++ b/cmd/bamboowalkd/main.go
@@ -69,6 +69,8 @@
 }
 
 func main() {
+	// Until the settings are watched, SIGHUP would end the process.
+	signal.Ignore(syscall.SIGHUP)
 	debug.SetGCPercent(gcPercent)
 	var cmds commands
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
