--- a/pkg/replica/events.go
+++ b/pkg/replica/events.go
@@ -208,15 +208,9 @@
 
 func (r *Replica) report(e Event) { r.output.Events = append(r.output.Events, e) }
 
-// leaderKnown reports whether this replica knows a leader. A learner goes on to name a
-// leader that has removed it, and counts as without a leader after ElectionTimeout.
-func (r *Replica) leaderKnown() bool {
-	return r.leader != "" && (r.role != roleLearner || r.electionClock-r.lastContact < r.opts.ElectionTimeout)
-}
-
 // leaderUnknownFor returns the time on the election clock since a leader was last known.
 func (r *Replica) leaderUnknownFor() time.Duration {
-	if r.leaderKnown() {
+	if r.leader != "" {
 		return 0
 	}
 	return r.electionClock - r.events.leaderKnownAt
@@ -224,7 +218,7 @@
 
 // trackLeader records whether a leader is known. It is called with each Tick.
 func (r *Replica) trackLeader() {
-	if r.leaderKnown() {
+	if r.leader != "" {
 		r.events.leaderKnownAt = r.electionClock
 	}
 	if r.role != roleLeader {
--- a/pkg/replica/events_test.go
+++ b/pkg/replica/events_test.go
@@ -42,7 +42,7 @@
 // Guards against logs that do not tell who was admitted, promoted, replaced and removed,
 // why, and how many more voters could be lost (hypothesis 1 of the incident no-leader).
 func TestMembershipEvents(t *testing.T) {
-	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 2}, sixVMs...)
+	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 1}, sixVMs...)
 	leader, gone := c.leader(), c.followers()[0]
 	before := leader.Stats()
 	all := slices.Sorted(slices.Values(sixVMs))
@@ -54,8 +54,8 @@
 	if len(silent) != 1 || !slices.Equal(silent[0].Silent, []fleet.VMID{gone}) || silent[0].Spare != 1 {
 		t.Errorf("a silent voter: got %+v, want one event with %s and 1 spare voter", silent, gone)
 	}
-	if s := leader.Stats(); s.SilentVoters != 1 || s.SpareVoters != 1 || s.Tolerance != 2 {
-		t.Errorf("a silent voter: got %d silent, %d spare and tolerance %d, want 1, 1 and 2", s.SilentVoters, s.SpareVoters, s.Tolerance)
+	if s := leader.Stats(); s.SilentVoters != 1 || s.SpareVoters != 1 || s.Tolerance != 1 {
+		t.Errorf("a silent voter: got %d silent, %d spare and tolerance %d, want 1, 1 and 1", s.SilentVoters, s.SpareVoters, s.Tolerance)
 	}
 	c.run(3 * time.Second)
 	removed := c.nextChange("after the silence", MemberRemoved, gone)
