replication: a peer counts as not reached after half a second of failures

What operators would see: since calls stall after 200 ms, a single stall of a slow process is logged as "replica can't be reached", and its end as well.

A failure is logged only if nothing has reached the peer for 500 ms.

--- a/internal/replication/events.go
+++ b/internal/replication/events.go
@@ -12,9 +12,14 @@
 
 // This file writes the events of a replica and of the transport to the log.
 
-// failureInterval is the minimum time between two log lines about a peer that can't be
-// reached. Dials to such a peer are repeated up to once a second.
-const failureInterval = 10 * time.Second
+const (
+	// failureDelay is the time for which nothing must reach a peer before that is logged.
+	// A single call stalls where processes run for a part of the time only.
+	failureDelay = 500 * time.Millisecond
+	// failureInterval is the minimum time between two log lines about such a peer, which
+	// is dialed some times a second.
+	failureInterval = 10 * time.Second
+)
 
 // logEvent writes one line about an event of the replica. Lines that an operator may have
 // to act on are warnings.
@@ -67,10 +72,14 @@
 	return zap.Strings(key, names)
 }
 
-// reportFailure logs a failed call or dial, at most once per failureInterval.
+// reportFailure logs a failed call or dial if nothing has reached the peer for
+// failureDelay, at most once per failureInterval.
 func (s *sender) reportFailure(err error, now time.Time) {
+	if s.failures == 0 {
+		s.failingSince = now
+	}
 	s.failures++
-	if s.t.Log == nil || now.Before(s.nextReport) {
+	if s.t.Log == nil || now.Sub(s.failingSince) < failureDelay || now.Before(s.nextReport) {
 		return
 	}
 	s.nextReport = now.Add(failureInterval)
--- a/internal/replication/events_test.go
+++ b/internal/replication/events_test.go
@@ -191,8 +191,12 @@
 	addresses.Store(fleet.VMID("b"), closed.Addr().String())
 	core, lines := observer.New(zap.InfoLevel)
 	a := openLogged(t, "a", nil, addresses, zap.New(core))
-	if !eventually(func() bool { a.sendJoin("b"); return a.Stats().DialErrors >= 3 }) {
-		t.Fatalf("got %+v, want three failed dials", a.Stats())
+	if !eventually(func() bool { a.sendJoin("b"); return lines.Len() > 0 }) {
+		t.Fatalf("got %+v and no line, want one about b", a.Stats())
+	}
+	dialed := a.Stats().DialErrors
+	if dialed < 3 || !eventually(func() bool { a.sendJoin("b"); return a.Stats().DialErrors >= dialed+3 }) {
+		t.Fatalf("got %+v, want three failed dials before the line and three after it", a.Stats())
 	}
 	if got := membersOf(lines, "replica can't be reached"); !slices.Equal(got, []string{"b"}) {
 		t.Errorf("lines about members that can't be reached: got %v, want one", got)
--- a/internal/replication/sender.go
+++ b/internal/replication/sender.go
@@ -83,9 +83,10 @@
 
 		// failures counts the failed calls and dials since the last success. reported
 		// is set if one of them was logged, and the next may be logged at nextReport.
-		failures   uint64
-		reported   bool
-		nextReport time.Time
+		failures     uint64
+		reported     bool
+		failingSince time.Time
+		nextReport   time.Time
 	}
 
 	// outgoing is an encoded message. A control message holds no commands and no part of
