--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -54,8 +54,7 @@
 	// failure is opened again.
 	reopenDelay = 500 * time.Millisecond
 	// removeAfter is the time without contact after which the leader may remove a
-	// member from the log. It is longer than a restart, so that a restarted member
-	// is not removed.
+	// member from the log. It is longer than most restarts.
 	removeAfter = 3 * time.Second
 	// tickInterval is the time between two checks for silent targets, and between
 	// two aggregations of the entry VMs' reports.
@@ -134,9 +133,10 @@
 		machine *catalog.StateMachine
 		// lastAtOpen is the index of the last log entry when the replica was opened.
 		lastAtOpen replica.Index
-		// logApplied is set once the state machine has applied the committed entries that
-		// the log contained when the replica was opened. Only the replica's goroutine uses
-		// it. caughtUp is set once the replica also has a vote.
+		// logApplied is set while a leader is known, once the state machine has applied
+		// what that leader had committed, and the committed entries that the log contained
+		// when the replica was opened. Only the replica's goroutine uses it. caughtUp is set
+		// once the replica also has a vote.
 		logApplied bool
 		caughtUp   atomic.Bool
 	}
--- a/internal/hub/zones.go
+++ b/internal/hub/zones.go
@@ -168,11 +168,14 @@
 // updateLogApplied sets logApplied. It runs in the replica's goroutine. A new leader may
 // remove entries that were not committed, so that the log can remain shorter than it was.
 func (l *replicaLoop) updateLogApplied() {
-	if l.logApplied {
+	if l.Replica.Leader() == "" {
+		l.logApplied = false
+	}
+	if l.logApplied || !l.Replica.CaughtUp() {
 		return
 	}
 	s := l.Replica.Stats()
-	l.logApplied = s.Leader != "" && (s.Applied >= l.lastAtOpen || s.Applied == s.LastIndex)
+	l.logApplied = s.Applied >= l.lastAtOpen || s.Applied == s.LastIndex
 }
 
 // updateCaughtUp sets caughtUp. It runs in the replica's goroutine.
--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -245,8 +245,7 @@
 		return
 	}
 	for _, m := range c.Members {
-		inc := r.joinRequests[m.VM]
-		if m.VM != r.self.VM && (inc > m.Incarnation || inc > 0 && r.isLost(Identity{VM: m.VM, Incarnation: inc})) {
+		if inc := r.joinRequests[m.VM]; inc != 0 && inc != m.Incarnation {
 			r.proposeInternalChange(m.VM, c.withMember(Member{Identity: Identity{VM: m.VM, Incarnation: inc}}))
 			return
 		}
@@ -285,21 +284,25 @@
 
 // removableMember returns a removable member, or "" if there is none. A member is
 // removable after a silence of RemoveAfter, and a voter already after ElectionTimeout if
-// the loss of Tolerance more voters would stop the log.
+// the loss of one more voter would stop the log, or that of Tolerance more although
+// successors have become voters.
 //
 // A silent voter may be gone for good, and would then count against every quorum. Or
 // it may come back with its disk, and is then needed if others lose theirs. With at
 // least 2*Tolerance+1 voters, the loss of any Tolerance disks leaves a quorum in the
 // second case, and one that holds every committed entry. More voters than that are kept
-// only while they answer.
+// only while they answer, and so is an even number, which bears no more lost disks than
+// one voter fewer.
 func (r *Replica) removableMember() fleet.VMID {
 	if r.opts.RemoveAfter == 0 {
 		return ""
 	}
 	c := r.config()
-	keepVoters := len(c.voters()) <= 2*r.opts.Tolerance+1
+	needed := 2*r.opts.Tolerance + 1
+	n := len(c.voters())
+	keepVoters := n <= 2 || n <= needed && n%2 == 1
 	voterLimit := r.opts.RemoveAfter
-	if r.spareVoters() < r.opts.Tolerance {
+	if spare := r.spareVoters(); spare < 1 || spare < r.opts.Tolerance && r.activeVoters() > needed {
 		voterLimit = min(voterLimit, r.opts.ElectionTimeout)
 	}
 	for _, m := range c.Members {
@@ -321,14 +324,17 @@
 // spareVoters returns the number of voters that may still be lost before no quorum of
 // recently active voters is left.
 func (r *Replica) spareVoters() int {
-	voters := r.config().voters()
-	active := 0
-	for _, id := range voters {
+	return r.activeVoters() - len(r.config().voters())/2 - 1
+}
+
+func (r *Replica) activeVoters() int {
+	n := 0
+	for _, id := range r.config().voters() {
 		if r.recentlyActive(id) {
-			active++
+			n++
 		}
 	}
-	return active - len(voters)/2 - 1
+	return n
 }
 
 // syncedVoters returns the number of voters whose durable log holds the newest
--- a/pkg/replica/election.go
+++ b/pkg/replica/election.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -9,10 +8,6 @@
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 )
 
-// lostAfter is the default of Options.RemoveAfter in isLost, in multiples of
-// ElectionTimeout.
-const lostAfter = 3
-
 // Step processes one message. The next Flush returns the resulting output.
 func (r *Replica) Step(from fleet.VMID, m Message, now time.Time) {
 	r.advanceClocks(now)
@@ -32,9 +27,9 @@
 	case Vote:
 		r.handleVote(sender, &m)
 	case Join:
-		r.handleJoin(sender)
+		r.handleJoin(sender, &m)
 	case JoinReply:
-		r.handleJoinReply(&m)
+		r.handleJoinReply(sender, &m)
 	case Append, SnapshotChunk, TimeoutNow:
 		r.handleFromLeader(sender, &m)
 	default:
@@ -82,6 +77,7 @@
 		r.becomeFollower(m.Term, from.VM)
 	}
 	r.lastContact = r.electionClock
+	r.leaderCommit = m.Commit
 	r.namedPeers = nil
 	r.resetElection()
 	if m.Kind == Append {
@@ -315,32 +311,47 @@
 // handleJoin records a request for admission, if this replica leads. Otherwise, it
 // tells the sender which replicas this one knows: none of those that the sender
 // knows may lead, or even be a member.
-func (r *Replica) handleJoin(from Identity) {
+//
+// A member is replaced by another incarnation of its VM only if that one runs and the
+// member does not answer. A request may arrive late, from an incarnation that has ended,
+// so its sender must repeat a number. The other incarnation may be the lower one, if the
+// clock of the VM was ahead.
+func (r *Replica) handleJoin(from Identity, m *Message) {
 	if r.role != roleLeader {
 		peers := r.knownPeers()
 		r.reply(from, Message{Kind: JoinReply, Peers: peers[:min(len(peers), maxPeers)]})
 		return
 	}
-	if from.Incarnation > r.joinRequests[from.VM] || r.isLost(from) {
+	member := r.config().find(from.VM)
+	switch {
+	case member == nil:
+		r.joinRequests[from.VM] = max(r.joinRequests[from.VM], from.Incarnation)
+	case member.Incarnation == from.Incarnation || r.recentlyActive(member.Identity):
+	case r.answersChallenge(from, m):
 		r.joinRequests[from.VM] = from.Incarnation
+	default:
+		r.lastChallenge++
+		r.challenges[from.VM] = joinChallenge{from.Incarnation, r.lastChallenge, r.electionClock}
+		r.reply(from, Message{Kind: JoinReply, Position: Position{Term: r.hard.Term}, Round: r.lastChallenge})
 	}
 }
 
-// isLost reports whether another incarnation of the same VM is a member and has been
-// silent for so long that it does not run any more. Its number may be higher than that
-// of the present incarnation, if the clock of the VM was ahead.
-func (r *Replica) isLost(from Identity) bool {
-	m := r.config().find(from.VM)
-	if m == nil || m.Incarnation == from.Incarnation {
-		return false
-	}
-	p := r.progressOf(m.Identity)
-	return p != nil && r.electionClock-p.lastContact >= cmp.Or(r.opts.RemoveAfter, lostAfter*r.opts.ElectionTimeout)
+// answersChallenge reports whether a Join repeats the number that was sent to the same
+// incarnation in this term, within the last ElectionTimeout.
+func (r *Replica) answersChallenge(from Identity, m *Message) bool {
+	c := r.challenges[from.VM]
+	return m.Round != 0 && m.Round == c.number && m.Position.Term == r.hard.Term &&
+		from.Incarnation == c.incarnation && r.electionClock-c.sent < r.opts.ElectionTimeout
 }
 
-// handleJoinReply records the replicas to ask for admission. They are not passed on in
-// turn, so that the name of a replica that is gone does not circulate.
-func (r *Replica) handleJoinReply(m *Message) {
+// handleJoinReply answers the challenge of a leader, or records the replicas to ask for
+// admission. They are not passed on in turn, so that the name of a replica that is gone
+// does not circulate.
+func (r *Replica) handleJoinReply(from Identity, m *Message) {
+	if m.Round != 0 {
+		r.send(from.VM, Message{Kind: Join, Term: r.hard.Term, To: from.Incarnation, Position: m.Position, Round: m.Round})
+		return
+	}
 	for _, vm := range m.Peers {
 		if len(r.namedPeers) < maxPeers && !slices.Contains(r.namedPeers, vm) {
 			r.namedPeers = append(r.namedPeers, vm)
--- a/pkg/replica/events.go
+++ b/pkg/replica/events.go
@@ -235,6 +235,9 @@
 			s.answers[from.VM] = voteAnswer{granted: !m.Reject, term: m.Term}
 		}
 	case JoinReply:
+		if m.Round != 0 {
+			return
+		}
 		if s.redirectedBy == nil {
 			s.redirectedBy = map[fleet.VMID]bool{}
 		}
--- a/pkg/replica/events_test.go
+++ b/pkg/replica/events_test.go
@@ -36,14 +36,16 @@
 	return slices.DeleteFunc(slices.Clone(vms), func(vm fleet.VMID) bool { return slices.Contains(gone, vm) })
 }
 
-// followers returns the running VMs of sixVMs that do not lead.
-func (c *memberCluster) followers() []fleet.VMID { return without(sixVMs, c.leader().self.VM) }
+// followers returns those of the given VMs that do not lead.
+func (c *memberCluster) followers(vms ...fleet.VMID) []fleet.VMID {
+	return without(vms, c.leader().self.VM)
+}
 
 // Guards against logs that do not tell who was admitted, promoted, replaced and removed,
 // why, and how many more voters could be lost (hypothesis 1 of the incident no-leader).
 func TestMembershipEvents(t *testing.T) {
-	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 1}, sixVMs...)
-	leader, gone := c.leader(), c.followers()[0]
+	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 2}, sixVMs...)
+	leader, gone := c.leader(), c.followers(sixVMs...)[0]
 	before := leader.Stats()
 	all := slices.Sorted(slices.Values(sixVMs))
 
@@ -54,8 +56,8 @@
 	if len(silent) != 1 || !slices.Equal(silent[0].Silent, []fleet.VMID{gone}) || silent[0].Spare != 1 {
 		t.Errorf("a silent voter: got %+v, want one event with %s and 1 spare voter", silent, gone)
 	}
-	if s := leader.Stats(); s.SilentVoters != 1 || s.SpareVoters != 1 || s.Tolerance != 1 {
-		t.Errorf("a silent voter: got %d silent, %d spare and tolerance %d, want 1, 1 and 1", s.SilentVoters, s.SpareVoters, s.Tolerance)
+	if s := leader.Stats(); s.SilentVoters != 1 || s.SpareVoters != 1 || s.Tolerance != 2 {
+		t.Errorf("a silent voter: got %d silent, %d spare and tolerance %d, want 1, 1 and 2", s.SilentVoters, s.SpareVoters, s.Tolerance)
 	}
 	c.run(3 * time.Second)
 	removed := c.nextChange("after the silence", MemberRemoved, gone)
@@ -99,7 +101,7 @@
 // not answer and who refuses, or that report it at a rate that grows with the elections.
 func TestLeaderUnknownEvents(t *testing.T) {
 	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 2}, sixVMs...)
-	lost := c.followers()[:4]
+	lost := c.followers(sixVMs...)[:4]
 	rest := slices.Sorted(slices.Values(without(sixVMs, lost...)))
 	c.lose(lost...)
 	clear(c.events)
@@ -171,7 +173,7 @@
 // asks report whom it asks (hypothesis 2), or report each of its requests.
 func TestAdmissionEvents(t *testing.T) {
 	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 2}, sixVMs...)
-	seed := c.followers()[0]
+	seed := c.followers(sixVMs...)[0]
 	clear(c.events)
 	c.start("x", "gone1", "gone2")
 	c.run(20 * time.Second)
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -29,6 +29,17 @@
 		firstRound    uint64
 		minLeaseRound uint64
 		reads         []pendingRead
+		// challenges holds the last challenge that was sent to each VM.
+		challenges    map[fleet.VMID]joinChallenge
+		lastChallenge uint64
+	}
+
+	// joinChallenge is a number that an incarnation must repeat in order to replace
+	// another one of its VM.
+	joinChallenge struct {
+		incarnation fleet.Incarnation
+		number      uint64
+		sent        time.Duration // on the election clock
 	}
 
 	// progress is the replication state of one member. All entries up to match
@@ -82,6 +93,7 @@
 	r.leaderState = leaderState{
 		progress:      map[fleet.VMID]*progress{},
 		joinRequests:  map[fleet.VMID]fleet.Incarnation{},
+		challenges:    map[fleet.VMID]joinChallenge{},
 		firstRound:    1,
 		minLeaseRound: 1,
 		heartbeatDue:  true,
@@ -417,10 +429,8 @@
 	}
 	p.lastContact = r.electionClock
 	p.round = max(p.round, m.Round)
-	if r.joinRequests[from.VM] < from.Incarnation {
-		// The request is from an incarnation that this one has replaced.
-		delete(r.joinRequests, from.VM)
-	}
+	// The member runs, so no other incarnation does.
+	delete(r.joinRequests, from.VM)
 	return p
 }
 
--- a/pkg/replica/members_test.go
+++ b/pkg/replica/members_test.go
@@ -498,3 +498,97 @@
 	c.run(3 * time.Second)
 	c.checkMembers("after the cut")
 }
+
+// Guards against the replacement of a voter by an incarnation that has ended, whose
+// request arrives late: the voter is needed when another VM loses its disk.
+func TestLateJoin(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// clock is the offset of the clock at the start of the former incarnation.
+		clock time.Duration
+		cut   bool
+	}{
+		{"lower incarnation, voter cut off", 0, true},
+		{"higher incarnation, voter cut off", 10 * time.Second, true},
+		{"higher incarnation, voter runs", 10 * time.Second, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 1}, "a", "b", "c")
+			victim := c.followers("a", "b", "c")[0]
+			var former fleet.Incarnation
+			for _, offset := range []time.Duration{test.clock, 0} {
+				c.lose(victim)
+				now := c.now
+				c.now = now.Add(offset)
+				c.start(victim, "a", "b", "c")
+				c.now = now
+				c.replicas[victim].lastCall = now
+				if former == 0 {
+					former = c.replicas[victim].self.Incarnation
+				}
+				c.run(6 * time.Second)
+				c.checkMembers("after the loss of a disk")
+			}
+			index := c.propose()
+			c.cut[victim] = test.cut
+			c.run(3500 * time.Millisecond)
+			l := c.leader()
+			for range 3 {
+				c.deliver(l.self.VM, l.Handle(victim, Message{Kind: Join, From: former}, c.now))
+				c.run(200 * time.Millisecond)
+			}
+			other := without([]fleet.VMID{"a", "b", "c"}, victim, l.self.VM)[0]
+			c.losePower(other)
+			clear(c.cut)
+			c.checkRecovery("after the loss of another disk", index)
+		})
+	}
+}
+
+// Guards against gone voters that are kept for a tolerance that the number of VMs does
+// not allow, until they are half of the log.
+func TestToleranceAboveSize(t *testing.T) {
+	for _, test := range []struct{ vms, tolerance int }{{3, 2}, {4, 2}, {5, 3}} {
+		t.Run(fmt.Sprint(test.vms, " VMs, tolerance ", test.tolerance), func(t *testing.T) {
+			running := slices.Clone(sixVMs[:test.vms])
+			c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: test.tolerance}, running...)
+			for i := range 12 {
+				vm := fleet.VMID(fmt.Sprint("n", i))
+				c.lose(running[0])
+				c.run(1600 * time.Millisecond)
+				running = append(running[1:], vm)
+				c.start(vm, running[:3]...)
+				c.run(10 * time.Second)
+				if c.leader() == nil {
+					t.Fatalf("after replacement %d: no leader", i)
+				}
+				if got, most := len(c.leader().config().voters()), test.vms+1; got > most {
+					t.Errorf("after replacement %d: got %d voters, want at most %d", i, got, most)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a newcomer that takes itself for caught up as soon as it knows a leader:
+// its hub would confirm older state.
+func TestNewcomerIsNotCaughtUp(t *testing.T) {
+	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 1, SnapshotEvery: 20, KeepEntries: 5}, "a", "b", "c")
+	var index Index
+	for range 60 {
+		index = c.propose()
+	}
+	c.slowDisk["x"] = 200 * time.Millisecond
+	c.start("x", "a")
+	x, early := c.replicas["x"], false
+	for !x.CaughtUp() {
+		early = early || x.Leader() != ""
+		c.run(20 * time.Millisecond)
+	}
+	if !early {
+		t.Error("the newcomer had its log before it knew a leader, want the other order")
+	}
+	if x.applied < index {
+		t.Errorf("caught up with %d applied, want at least %d", x.applied, index)
+	}
+}
--- a/pkg/replica/message.go
+++ b/pkg/replica/message.go
@@ -22,8 +22,9 @@
 	Join
 	// TimeoutNow asks a follower to start an election at once.
 	TimeoutNow
-	// JoinReply answers a Join that reached a replica which does not lead. It names
-	// the replicas that the sender knows, of which one may lead.
+	// JoinReply answers a Join. A replica that does not lead names the replicas that it
+	// knows, of which one may lead. A leader whose config has another incarnation of the
+	// VM sends a number, which the receiver repeats in another Join.
 	JoinReply
 )
 
@@ -77,13 +78,15 @@
 		//   - PreVote and Vote: the candidate's last entry.
 		//   - SnapshotChunk and SnapshotChunkReply: the last entry that the
 		//     snapshot covers.
+		//   - Join and JoinReply: only the Term, that of the leader that sent Round.
 		//   - AppendReply: the last matching entry (Index only). If the reply
 		//     rejects an Append, Position is the one of that Append, or zero if
 		//     the Append has an old term.
 		Position Position `cbor:"5,keyasint"`
 		Commit   Index    `cbor:"6,keyasint,omitempty"`
 		Entries  []Entry  `cbor:"7,keyasint,omitempty"`
-		// Round is the number of the leader's newest heartbeat round. The reply
+		// Round is the number of the leader's newest heartbeat round, or, in a Join and a
+		// JoinReply, the number to repeat, 0 if there is none. The reply
 		// to an Append or a SnapshotChunk has the same Round, or 0 if that
 		// message has an old term.
 		Round  uint64 `cbor:"8,keyasint,omitempty"`
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -166,6 +166,9 @@
 		lastContact      time.Duration // on the election clock
 		electionDeadline time.Duration
 		lastJoin         time.Duration
+		// leaderCommit is the commit index in the last message of the leader, 0 before
+		// the first.
+		leaderCommit Index
 		// namedPeers are the replicas that JoinReply messages have named since a
 		// leader was last heard from.
 		namedPeers []fleet.VMID
@@ -320,6 +323,16 @@
 // Leader returns the current leader, or an empty id if none is known.
 func (r *Replica) Leader() fleet.VMID { return r.leader }
 
+// CaughtUp reports whether a leader is known, and this replica has applied what had been
+// committed when the leader sent its last message. A leader must have committed an entry of
+// its own term.
+func (r *Replica) CaughtUp() bool {
+	if r.role == roleLeader {
+		return r.applied >= r.noopIndex
+	}
+	return r.leader != "" && r.leaderCommit > 0 && r.applied >= r.leaderCommit
+}
+
 // Members returns the members of the newest config in the log, committed or not.
 func (r *Replica) Members() []Member { return append([]Member(nil), r.config().Members...) }
 
