replica: a learner is promoted as it answers

What callers would see: no leader, for good, after a control VM was replaced and its successor failed within seconds of its start.

Cause: with 2F+1 voters of which F are gone, a promotion needs the new voter for its own commit, and for everything until a gone voter is removed. A learner was promoted at a heartbeat, up to ElectionTimeout after its last answer, and the next change waited for the next heartbeat. A newcomer that failed in between left F+1 of 2F+2.

A learner is now promoted only in the moment of its answer, and the next change follows the commit of the one before at once. The window is the time of two commits.

TestLearnersGetCommittedEntries uses a slow learner, since another votes at once.

--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -209,13 +209,19 @@
 	return 0, &MembershipError{VM: vm, Reason: "unknown kind of membership change"}
 }
 
+// configCommitted reports whether the newest config and the first entry of the leader's
+// own term are committed.
+func (r *Replica) configCommitted() bool {
+	return r.commit >= max(r.configs[len(r.configs)-1].index, r.noopIndex)
+}
+
 // proposeConfig appends an entry with the config next, which adds, changes or
 // removes the member vm. It returns a MembershipError unless a quorum of the
 // new voters is reachable, and the previous config and an entry of the leader's
 // own term are committed. If no entry of the leader's own term were committed,
 // two leaders could use configs whose quorums do not intersect.
 func (r *Replica) proposeConfig(vm fleet.VMID, next Config) (ProposalID, error) {
-	if r.configs[len(r.configs)-1].index > r.commit || r.commit < r.noopIndex {
+	if !r.configCommitted() {
 		return 0, &MembershipError{VM: vm, Reason: "an earlier membership change or the first entry of the term is not committed"}
 	}
 	if !next.hasQuorum(r.recentlyActive) {
@@ -265,14 +271,15 @@
 	}
 }
 
-// promotable reports whether a member is a reachable learner whose durable log has
-// reached the first entry of the leader's term, and what was committed an ElectionTimeout
-// ago or later. A learner that reaches its goal later than that gets the present commit
+// promotable reports whether a member is a learner that has answered just now, and whose
+// durable log has reached the first entry of the leader's term and what was committed an
+// ElectionTimeout ago or later. Each quorum may need the new voter at once, so it must not
+// be one that has failed since the last heartbeat. A learner that reaches its goal later than that gets the present commit
 // index as the next goal. A smaller lag can't be asked for: with continuous writes, a
 // learner with a slow disk or processor always lags behind.
 func (r *Replica) promotable(m *Member) bool {
 	p := r.progress[m.VM]
-	if m.Voter || p == nil || p.match < max(p.goal, r.noopIndex) || !r.recentlyActive(m.Identity) {
+	if m.Voter || p == nil || p.match < max(p.goal, r.noopIndex) || p.lastContact < r.electionClock {
 		return false
 	}
 	inTime := r.electionClock-p.goalSet < r.opts.ElectionTimeout
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -463,6 +463,9 @@
 		p.transfer = nil
 		p.next = p.match + 1
 	}
+	if !r.config().isVoter(from) {
+		r.manageMembers()
+	}
 }
 
 func (r *Replica) advanceCommit() {
--- a/pkg/replica/members_test.go
+++ b/pkg/replica/members_test.go
@@ -351,6 +351,7 @@
 func TestLearnersGetCommittedEntries(t *testing.T) {
 	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second}, "a", "b", "c")
 	l := c.leader()
+	c.slowDisk["x"] = 300 * time.Millisecond // so that it does not vote at once
 	c.start("x", "a", "b", "c")
 	for end := c.now.Add(3 * time.Second); l.progress["x"] == nil || l.progress["x"].match == 0; c.run(20 * time.Millisecond) {
 		if c.now.After(end) {
@@ -367,6 +368,10 @@
 		t.Fatal(err)
 	}
 	c.deliver(l.self.VM, l.Flush(c.now))
+	c.run(800 * time.Millisecond)
+	if l.role != roleLeader {
+		t.Fatal("the leader has stepped down")
+	}
 	if got, want := c.replicas["x"].lastIndex(), l.commit; got > want || got == 0 {
 		t.Errorf("log of the learner: got entries up to %d, want up to %d", got, want)
 	}
@@ -418,6 +423,51 @@
 	}
 }
 
+// Guards against a promotion that makes the log depend on a newcomer: with 2F+1 voters, a
+// gone one is removed only after its successor votes. If the successor is lost between the
+// two changes, or before its promotion is committed, F+1 of 2F+2 voters are gone.
+func TestNewcomerLostAgain(t *testing.T) {
+	for _, tolerance := range []int{1, 2} {
+		for _, when := range []string{"after", "during"} {
+			t.Run(fmt.Sprintf("tolerance %d, %s promotion", tolerance, when), func(t *testing.T) {
+				loseNewcomer(t, tolerance, when == "during")
+			})
+		}
+	}
+}
+
+// loseNewcomer lets a log lose as many voters as it tolerates, and then the first of their
+// successors. If promoting is set, the successor fails before it acknowledges its promotion.
+func loseNewcomer(t *testing.T, tolerance int, promoting bool) {
+	vms := sixVMs[:2*tolerance+1]
+	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: tolerance}, vms...)
+	index := c.propose()
+	l := c.leader()
+	votes := func() bool { m := l.config().find("x"); return m != nil && m.Voter }
+	c.drop = func(from fleet.VMID, _ *Message) bool { return promoting && from == "x" && votes() }
+	lost := 0
+	for _, vm := range vms {
+		if vm != l.self.VM && lost < tolerance {
+			c.lose(vm)
+			lost++
+		}
+	}
+	c.run(1500 * time.Millisecond)
+	c.start("x", vms...)
+	for end := c.now.Add(3 * time.Second); !votes(); c.run(20 * time.Millisecond) {
+		if c.now.After(end) {
+			t.Fatal("x does not vote")
+		}
+	}
+	c.lose("x")
+	for i := range tolerance {
+		c.start(fleet.VMID(fmt.Sprint("y", i)), vms...)
+	}
+	c.run(repairBound - 5*time.Second)
+	c.checkRecovery("after the newcomer was lost", index)
+	c.checkMembers("after the newcomer was lost")
+}
+
 // Guards against the removal of voters that are only cut off: they are needed when
 // others lose their disks during the cut.
 func TestDisksLostDuringCut(t *testing.T) {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -371,7 +371,13 @@
 	for r.stopErr == nil {
 		r.persist()
 		if r.role == roleLeader {
+			committed := r.configCommitted()
 			r.advanceCommit()
+			if !committed && r.configCommitted() {
+				// The next change does not wait for a heartbeat: after the promotion of a
+				// newcomer, each quorum needs it until a silent voter is removed.
+				r.manageMembers()
+			}
 			r.broadcast()
 		}
 		r.apply()
