--- a/internal/replication/sender.go
+++ b/internal/replication/sender.go
@@ -48,6 +48,9 @@
 	// callTimeout is the time after which a call that makes progress gives way to other
 	// messages, and the time without progress after which a stalled call is given up.
 	callTimeout = 5 * time.Second
+	// maxStalled is the maximum number of stalled calls to one peer that go on. A process
+	// that gets no processor time for a second stalls more than once.
+	maxStalled = 2
 	// maxStalledCall is the maximum duration of a stalled call that makes progress again.
 	maxStalledCall = 30 * time.Second
 	// controlLifetime is the time for which a message without commands is sent again
@@ -78,7 +81,7 @@
 		redialBackoff *backoff.ExponentialBackOff
 		retryAt       time.Time
 		stallTimeout  time.Duration
-		// stalled holds a value while a stalled call goes on over an earlier connection.
+		// stalled holds a value for each stalled call that goes on over an earlier connection.
 		stalled chan struct{}
 
 		// failures counts the failed calls and dials since the last success. reported
@@ -114,7 +117,7 @@
 	redialBackoff.InitialInterval, redialBackoff.MaxInterval = minRedialDelay, maxRedialDelay
 	return &sender{
 		t: t, peer: peer, queue: make(chan replica.Message, queueLength), redialBackoff: redialBackoff,
-		stallTimeout: stallTimeout, stalled: make(chan struct{}, 1),
+		stallTimeout: stallTimeout, stalled: make(chan struct{}, maxStalled),
 	}
 }
 
@@ -271,8 +274,8 @@
 }
 
 // stall lets a stalled call go on over its connection, because the peer may only be slow,
-// and frees the sender for a new connection. If there is such a call already, stall closes
-// the connection instead.
+// and frees the sender for a new connection. If there are maxStalled such calls already,
+// stall closes the connection instead.
 func (s *sender) stall(ctx context.Context, done <-chan error) {
 	s.t.counters.callTimeouts.Add(1)
 	s.stallTimeout = min(2*s.stallTimeout, maxStallTimeout)
@@ -329,7 +332,13 @@
 	if address == "" {
 		return nil, &fleet.UnknownError{Type: "replica", Name: string(s.peer)}
 	}
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+	dialContext := s.t.dialContext
+	if dialContext == nil {
+		dialContext = new(net.Dialer).DialContext
+	}
+	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
+	defer cancelDial()
+	conn, err := dialContext(dialCtx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/replication/transport.go
+++ b/internal/replication/transport.go
@@ -63,6 +63,8 @@
 		// Log, if set, is the logger for peers that can't be reached.
 		Log *zap.Logger
 
+		// dialContext dials a TCP address if it is nil.
+		dialContext func(ctx context.Context, network, address string) (net.Conn, error)
 		// idleTimeout is senderIdleTimeout if it is 0.
 		idleTimeout time.Duration
 		counters    counters
