--- a/pkg/replica/members_test.go
+++ b/pkg/replica/members_test.go
@@ -541,12 +541,12 @@
 		t.Fatalf("role: got %s, want Learner", got)
 	}
 	c.cut["x"] = true
+	delete(c.slowDisk, "x")
 	c.run(2 * time.Second)
 	if got := c.replicas["x"].Leader(); got != "" {
 		t.Errorf("leader of a learner that is cut off: got %s, want none", got)
 	}
 	c.cut["x"] = false
-	delete(c.slowDisk, "x")
 	c.run(3 * time.Second)
 	c.checkMembers("after the cut")
 }
