--- a/internal/replication/sender.go
+++ b/internal/replication/sender.go
@@ -54,8 +54,7 @@
 	// maxStalledCall is the maximum duration of a stalled call that makes progress again.
 	maxStalledCall = 30 * time.Second
 	// controlLifetime is the time for which a message without commands is sent again
-	// after a failure. A candidate sends its vote requests once, and starts another
-	// election at the earliest after that time.
+	// after a failure. A lost vote delays an election.
 	controlLifetime = replica.DefaultElectionTimeout
 	// Delays between dials, of which the longest and dialTimeout together stay below an
 	// election timeout.
--- a/internal/replication/transport.go
+++ b/internal/replication/transport.go
@@ -33,7 +33,8 @@
 	// a batch ends with the message that reaches maxBatchBytes, and no message
 	// is larger than a few MiB.
 	maxCallBytes = 16 << 20
-	// maxConns is the maximum number of accepted connections that are open. Each peer needs one connection.
+	// maxConns is the maximum number of accepted connections that are open. Each peer needs one connection, and more
+	// after a stall.
 	maxConns = 64
 
 	handshakeTimeout = 2 * time.Second
--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -274,9 +274,9 @@
 // promotable reports whether a member is a learner that has answered just now, and whose
 // durable log has reached the first entry of the leader's term and what was committed an
 // ElectionTimeout ago or later. Each quorum may need the new voter at once, so it must not
-// be one that has failed since the last heartbeat. A learner that reaches its goal later than that gets the present commit
-// index as the next goal. A smaller lag can't be asked for: with continuous writes, a
-// learner with a slow disk or processor always lags behind.
+// be one that has failed since the last heartbeat. A learner that reaches its goal too late
+// gets the present commit index as the next goal. A smaller lag can't be asked for: with
+// continuous writes, a learner with a slow disk or processor always lags behind.
 func (r *Replica) promotable(m *Member) bool {
 	p := r.progress[m.VM]
 	if m.Voter || p == nil || p.match < max(p.goal, r.noopIndex) || p.lastContact < r.electionClock {
--- a/pkg/replica/doc.go
+++ b/pkg/replica/doc.go
@@ -12,7 +12,7 @@
 // A config is the set of members of the cluster. Members are voters or
 // learners; learners receive the log, but do not vote. An incarnation numbers
 // the data directories that a VM has had: a replica that lost its disk starts
-// with a new, higher incarnation.
+// with a new incarnation, which is higher unless its clock was ahead before.
 //
 // Invariants:
 //
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -79,9 +79,9 @@
 	// mean the defaults, except for RemoveAfter.
 	Options struct {
 		Self fleet.VMID
-		// Incarnation is used only if the data directory is empty. It must be
-		// higher than any earlier incarnation of this replica; the wall clock
-		// in nanoseconds is suitable.
+		// Incarnation is used only if the data directory is empty. It must differ from
+		// all earlier incarnations of this replica; the wall clock in nanoseconds is
+		// suitable.
 		Incarnation fleet.Incarnation
 		// Peers lists the replicas that this replica asks for admission, besides the
 		// members of its config and the replicas that those name. SetPeers changes it.
@@ -106,12 +106,13 @@
 		// ChangeMembership.
 		AutoAdmit bool
 		// RemoveAfter is the time without contact after which the leader
-		// removes a member; 0 disables removal. A removed replica must be admitted
-		// again when it returns, so RemoveAfter needs AutoAdmit.
+		// removes a member; 0 disables removal. A voter is removed after
+		// ElectionTimeout if too few more may be lost (see removableMember). A removed
+		// replica must be admitted again when it returns, so RemoveAfter needs AutoAdmit.
 		RemoveAfter time.Duration
 		// Tolerance is the number of replicas that may lose their disks at the same
-		// time, 1 if it is less. Voters are removed only while more than
-		// 2*Tolerance+1 are left, since a silent voter may still have its disk.
+		// time, 1 if it is less. It needs 2*Tolerance+1 replicas or more: a silent voter
+		// may still have its disk, so an odd number of voters up to that is not reduced.
 		Tolerance int
 		// QuorumReads makes each read wait for a heartbeat round answered by a
 		// quorum. It is needed where the clock may stop while a machine is
