replica: a repeated request for admission does not go back and forth for ever

What callers would see: a leader and a newcomer that exchange messages without a pause, from a request that was delivered twice, as the transport may.

A request whose number did not match got another number. With two answers in flight, each invalidates the other, and neither ends.

Only a request without a number gets one.

--- a/pkg/replica/election.go
+++ b/pkg/replica/election.go
@@ -329,7 +329,9 @@
 	case member.Incarnation == from.Incarnation || r.recentlyActive(member.Identity):
 	case r.answersChallenge(from, m):
 		r.joinRequests[from.VM] = from.Incarnation
-	default:
+	case m.Round == 0:
+		// Only a request without a number gets another: two answers in flight would
+		// otherwise invalidate each other for ever.
 		r.lastChallenge++
 		r.challenges[from.VM] = joinChallenge{from.Incarnation, r.lastChallenge, r.electionClock}
 		r.reply(from, Message{Kind: JoinReply, Position: Position{Term: r.hard.Term}, Round: r.lastChallenge})
--- a/pkg/replica/members_test.go
+++ b/pkg/replica/members_test.go
@@ -644,3 +644,38 @@
 		t.Errorf("caught up with %d applied, want at least %d", x.applied, index)
 	}
 }
+
+// Guards against requests and numbers that go back and forth without end, after a request
+// was delivered twice.
+func TestRepeatedJoin(t *testing.T) {
+	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 1}, "a", "b", "c")
+	l := c.leader()
+	vm := c.followers("a", "b", "c")[0]
+	c.lose(vm)
+	c.run(1100 * time.Millisecond)
+	join := Message{Kind: Join, From: fleet.Incarnation(c.now.UnixNano())}
+	newcomer := Identity{VM: vm, Incarnation: join.From}
+	numbers := 0
+	var pending []Message
+	take := func(out Output) {
+		for _, e := range out.Envelopes {
+			if e.To == vm && e.Message.Kind == JoinReply && e.Message.Round != 0 {
+				pending = append(pending, e.Message)
+			}
+		}
+	}
+	take(l.Handle(vm, join, c.now))
+	take(l.Handle(vm, join, c.now))
+	for len(pending) > 0 && numbers < 10 {
+		m := pending[0]
+		pending = pending[1:]
+		numbers++
+		take(l.Handle(vm, Message{Kind: Join, From: newcomer.Incarnation, Position: m.Position, Round: m.Round}, c.now))
+	}
+	if numbers != 2 {
+		t.Errorf("numbers sent after two requests: got %d, want 2", numbers)
+	}
+	if got := l.joinRequests[vm]; got != newcomer.Incarnation {
+		t.Errorf("recorded request: got incarnation %d, want %d", got, newcomer.Incarnation)
+	}
+}
