--- a/internal/replication/silent_test.go
+++ b/internal/replication/silent_test.go
@@ -304,7 +304,7 @@
 }
 
 // Guards against the loss of a vote that was sent over a connection which had gone
-// silent: a candidate sends it once in each of its elections.
+// silent.
 func TestVoteAfterSilence(t *testing.T) {
 	p := &proxy{}
 	a, b := openThrough(t, p)
--- a/pkg/replica/stats.go
+++ b/pkg/replica/stats.go
@@ -24,9 +24,9 @@
 	// of a replica, the cluster is fully replicated again once all voters are
 	// synced and there is no learner.
 	SyncedVoters int
-	// SilentVoters is the number of voters that this leader has not heard from within
-	// the last ElectionTimeout, and SpareVoters the number of those that may still be
-	// lost before no quorum is heard. Both are 0 if this replica does not lead.
+	// SilentVoters is the number of voters that have not answered this leader within the
+	// last ElectionTimeout, and SpareVoters the number of voters that may still be lost
+	// before no quorum answers. Both are 0 if this replica does not lead.
 	SilentVoters int
 	SpareVoters  int
 	// Tolerance is Options.Tolerance.
