Add review case 7: a heartbeat for an unknown service ends a live target

While the catalog does not name the service of a target that still serves open flows, an announcement for an unknown service at the target's address passes the check of its place. The target is marked as gone for good, and entry VMs reset its open flows.

--- a/review/standins/late_answer.go
+++ b/review/standins/late_answer.go
@@ -8,21 +8,30 @@
 	"time"
 )
 
-// config returns a configuration with one route for each service, in the order of the
-// services, at the ports 443, 444 and so on of the route address.
+// config returns a configuration that sends the route at the i-th address to the i-th of
+// the services given, and names no other service.
 func (w *world) config(version int, kind string, services ...string) []byte {
 	routes, list := "", ""
+	named := map[string]bool{}
 	for i, s := range services {
 		if i > 0 {
-			routes, list = routes+",", list+","
+			routes += ","
 		}
 		routes += fmt.Sprintf(`{"name":"r-%d","host":%q,"pathPrefix":"/%d/","kind":%q,"timeoutMs":2000,"sloMs":200,"priority":1,"service":%q,"maxAttempts":2}`,
 			i, w.routeAt(i).Addr().String(), w.routeAt(i).Port(), kind, s)
+		if named[s] {
+			continue
+		}
+		if len(named) > 0 {
+			list += ","
+		}
+		named[s] = true
 		list += fmt.Sprintf(`{"name":%q,"healthPath":"/health","maxConns":4444,"protocol":"h1","tls":false}`, s)
 	}
 	return fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[%s],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, version, routes, list)
 }
 
+// routeAt returns the i-th route address.
 func (w *world) routeAt(i int) netip.AddrPort {
 	return netip.AddrPortFrom(w.ip(0, 1), uint16(443+i))
 }
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -17,7 +17,8 @@
 		os.Exit(2)
 	}
 	cases := map[string]func(record string, trouble bool) (broken int, err error){
-		"late-answer": lateAnswer,
+		"late-answer":   lateAnswer,
+		"odd-heartbeat": oddHeartbeat,
 	}
 	play := cases[os.Args[1]]
 	if play == nil {
