--- a/review/standins/backend.go
+++ b/review/standins/backend.go
@@ -44,6 +44,7 @@
 		beatAddr string
 		flows    map[flowKey]*serverFlow
 		acked    time.Time // acknowledgement of draining
+		cut      bool      // cut off from the hubs
 	}
 
 	serverFlow struct {
@@ -108,6 +109,19 @@
 	b.server.Close()
 }
 
+// setCut sets whether the backend is cut off from the hubs.
+func (b *backend) setCut(cut bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cut = cut
+}
+
+func (b *backend) isCut() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.cut
+}
+
 func (b *backend) health(w http.ResponseWriter, _ *http.Request) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -131,6 +145,10 @@
 // beat sends one heartbeat, to one hub after the other until one acknowledges it.
 func (b *backend) beat(ctx context.Context) bool {
 	b.mu.Lock()
+	if b.cut {
+		b.mu.Unlock()
+		return false
+	}
 	b.seq++
 	state := b.state
 	body, _ := json.Marshal(map[string]any{"service": b.service, "addr": b.addr.String(), "zone": b.zone, "version": "v1", "slots": 2,
@@ -145,6 +163,9 @@
 		addrs = append(addrs, b.w.control(b.w.hubs[i]))
 	}
 	for _, a := range addrs {
+		if b.isCut() {
+			return false
+		}
 		status, _, answer := call(ctx, http.MethodPost, "http://"+a+"/instances/"+b.id+"/heartbeat", body, time.Second)
 		b.mu.Lock()
 		if status/100 == 2 {
--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -35,9 +35,11 @@
 		open    bool
 		refused bool
 		broken  string // why the flow broke
-		acked   uint32
-		answer  []byte
-		openAt  time.Time
+		// brokenAt is the time of the reset, and sentAt that of the last request.
+		brokenAt, sentAt time.Time
+		acked            uint32
+		answer           []byte
+		openAt           time.Time
 		// lateAnswers counts the SYN+ACKs that arrived when the flow was open.
 		lateAnswers int
 	}
@@ -98,7 +100,7 @@
 	defer f.notify()
 	if p.isReset0 {
 		if f.open {
-			f.broken = "a reset of the system"
+			f.broken, f.brokenAt = "a reset of the system", time.Now()
 		} else {
 			f.refused = true
 		}
@@ -109,7 +111,7 @@
 	case p.flags&rst != 0 && !f.open:
 		f.refused = true
 	case p.flags&rst != 0:
-		f.broken = "a reset of backend " + string(p.data)
+		f.broken, f.brokenAt = "a reset of backend "+string(p.data), time.Now()
 	case p.flags&(syn|ack) == syn|ack:
 		if f.open {
 			f.lateAnswers++
@@ -188,6 +190,7 @@
 	f.c.w.requestSent(f, id)
 	f.mu.Lock()
 	first := f.seq
+	f.sentAt = time.Now()
 	f.seq += uint32(len(data))
 	f.answer = nil
 	f.mu.Unlock()
@@ -217,6 +220,12 @@
 	return ok
 }
 
+// foreignReset reports whether the last request was answered with a reset that the flow's
+// backend, own, did not send. f.mu is held.
+func (f *flow) foreignReset(own *backend) bool {
+	return f.broken != "" && f.broken != "a reset of backend "+own.id && !f.brokenAt.Before(f.sentAt)
+}
+
 // close ends the flow with a FIN.
 func (f *flow) close() {
 	f.mu.Lock()
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -19,6 +19,7 @@
 	cases := map[string]func(record string, trouble bool) (broken int, err error){
 		"late-answer":   lateAnswer,
 		"odd-heartbeat": oddHeartbeat,
+		"late-leave":    lateLeave,
 	}
 	play := cases[os.Args[1]]
 	if play == nil {
