Add review case 6: lost successors leave two running hubs without a leader

While a voter that is silent for less than a second is still counted, the leader of the log proposes to remove a learner. If the newest voter is lost as well, the change can't be committed, no other can be proposed, and the two hubs that run have no leader for good.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -20,6 +20,7 @@
 		"late-answer":   lateAnswer,
 		"odd-heartbeat": oddHeartbeat,
 		"late-leave":    lateLeave,
+		"newcomer-lost": newcomerLost,
 	}
 	play := cases[os.Args[1]]
 	if play == nil {
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: dir, repo: repo, net: byte(20 + rand.IntN(200)), zones: zones, record: rec, start: time.Now(), tolerance: 1,
+	w := &world{dir: dir, repo: repo, net: freeNet(), zones: zones, record: rec, start: time.Now(), tolerance: 1,
 		contracts: []string{"base", "drain", "config", "cost", "recover", "flows"}}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	if err := w.findPorts(); err != nil {
@@ -103,6 +103,20 @@
 	return w, nil
 }
 
+// freeNet returns the second octet of addresses that no other run of a case uses: the
+// metrics port of the templates is the same in all of them.
+func freeNet() byte {
+	for range 100 {
+		n := byte(20 + rand.IntN(200))
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.1.11:9100", n))
+		if err == nil {
+			l.Close()
+			return n
+		}
+	}
+	return 19
+}
+
 // findPorts chooses ports that are free on all addresses.
 func (w *world) findPorts() error {
 	for range 50 {
