--- a/review/standins/newcomer_lost.go
+++ b/review/standins/newcomer_lost.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -12,15 +13,17 @@
 
 // newcomerLost takes one of three hubs away for good, and then starts successors at new
 // addresses with empty disks. Each successor but the last is gone for good soon after its
-// start, as its machine has failed too. An operator changes the configuration meanwhile.
+// start, as its machine has failed too. Two operators change the configuration meanwhile.
 // Two of the three hubs run all the while. It is broken if they acknowledge no change and
 // return no configuration for stuckTime, although a last successor runs.
 func newcomerLost(record string, trouble bool) (int, error) {
 	const (
-		stuckTime   = 16 * time.Second
-		gap         = 330 * time.Millisecond
-		attemptTime = 80 * time.Second
-		pause       = 200 * time.Millisecond
+		stuckTime    = 16 * time.Second
+		documentSize = 200 << 10
+		operators    = 2
+		gap          = 80 * time.Millisecond
+		attemptTime  = 80 * time.Second
+		pause        = 200 * time.Millisecond
 	)
 	w, err := newWorld(record, "zone-a", "zone-b", "zone-c")
 	if err != nil {
@@ -38,6 +41,7 @@
 		return 0, errCannotRun
 	}
 	time.Sleep(6 * time.Second)
+	padding := bytes.Repeat([]byte(" "), documentSize)
 	gone, stay := w.hubs[0], w.hubs[1:3]
 	var version atomic.Int64
 	var lastAck atomic.Int64
@@ -47,7 +51,7 @@
 	operator := func() {
 		for w.ctx.Err() == nil {
 			v := version.Add(1)
-			body := w.config(int(v), "unsafe", "booking")
+			body := append(w.config(int(v), "unsafe", "booking"), padding...)
 			for i := int(v); w.ctx.Err() == nil; i++ {
 				url := "http://" + w.control(stay[i%2]) + "/config/put"
 				s, loc, _ := call(w.ctx, "POST", url, body, time.Second)
@@ -63,7 +67,9 @@
 			time.Sleep(gap)
 		}
 	}
-	go operator()
+	for range operators {
+		go operator()
+	}
 	time.Sleep(time.Second)
 	if trouble {
 		gone.signal(syscall.SIGKILL)
