steering: a resumed entry VM opens no flow that a copy may have opened elsewhere

Cause: a VM that ran again forwarded opening packets up to 1.2 s old. Callers repeat them after 0.2 and 0.6 s, and the router had sent the copies to other VMs. The late answer of a second target replaced the caller's cookie, and a VM without an entry for the flow trusts the cookie. Related: packets held by admission, two copies read at once, packets held by a VM without state, resets by lists from before the suspension, and doubts about targets whose answers came during it.

Why it works: a packet that waited is forwarded only if all copies that the caller has sent by then have waited at the same VM, or to the target that an earlier copy has gone to through it. Then no other VM can have opened the flow elsewhere. Until an update from after the suspension has arrived, no flow is reset by the view.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -182,6 +182,7 @@
 	d.salt = xxhash.Sum64String(string(d.Settings.ID))
 	d.core = steering.New(d.Settings.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	d.core.Regions = d.Settings.Regions
+	d.suspension.Resumed = d.resumed
 	if d.Settings.LoadReports {
 		d.core.UseLoadReports()
 		d.core.Capacity = d.core.Estimate
@@ -214,7 +215,7 @@
 	group.Go(func() error { return d.follower.run(workCtx) })
 	group.Go(func() error {
 		return runTicks(workCtx, runInterval, func(now time.Time) {
-			d.observeRun(now)
+			d.suspension.Observe(now)
 			d.logConfirmation(now)
 		})
 	})
@@ -323,10 +324,8 @@
 			continue
 		}
 		now := time.Now()
-		if d.tooOld(&p, r.emptyAt, now) {
-			d.stale.Add(1)
-			continue
-		}
+		d.suspension.Observe(now)
+		p.Waited = d.suspension.MaxAge(r.emptyAt, now)
 		if !d.ready.Load() && d.backlog.Hold(&p, b, now) {
 			continue
 		}
@@ -359,6 +358,7 @@
 // lookForDoubts looks for unanswered opening packets, and reports doubts that their health
 // checks have not ended.
 func (d *Daemon) lookForDoubts(now time.Time) {
+	d.suspension.Observe(now)
 	d.core.Tick(now)
 	if d.core.ReportDue(now) {
 		d.follower.suspectsChanged()
@@ -367,6 +367,7 @@
 
 // release carries out the decisions about the opening packets that the core releases.
 func (d *Daemon) release(out []byte, now time.Time) []byte {
+	d.suspension.Observe(now)
 	for _, h := range d.core.Release(now) {
 		out = d.carryOut(out[:0], h.Data, &h.Packet, &h.Decision, h.Waited, now)
 	}
@@ -393,6 +394,9 @@
 }
 
 func (d *Daemon) carryOut(out, b []byte, p *steering.Packet, decision *steering.Decision, held time.Duration, now time.Time) []byte {
+	if decision.Cause == steering.CauseSuspended {
+		d.stale.Add(1)
+	}
 	d.observer.logDecision(p, decision, held, now)
 	var to netip.AddrPort
 	switch decision.Op {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -462,6 +462,7 @@
 				f.Core.ConfirmFleetLoad(now)
 			}
 			lost = f.applyLost(u, lost, now)
+			f.Core.Updated(now)
 			f.Core.Tick(now)
 			err = f.acknowledge(s, u.Version)
 		}
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"bamboowalk.org/bamboowalk/internal/logging"
-	"bamboowalk.org/bamboowalk/pkg/steering"
 )
 
 // runInterval is the time between two calls of steering.Suspension.Observe.
@@ -65,7 +64,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return 0, err
 		}
-		// observeRun has asked to look again whether the socket is empty.
+		// Daemon.resumed has asked to look again whether the socket is empty.
 		if err := r.socket.SetReadDeadline(time.Time{}); err != nil {
 			return 0, err
 		}
@@ -86,22 +85,13 @@
 	}
 }
 
-// observeRun notes that this process runs. After a suspension it makes a reader that waits
-// for packets look again whether the socket is empty: the next packet would otherwise count
-// as one that may have waited during the suspension.
-func (d *Daemon) observeRun(now time.Time) {
-	gap := d.suspension.Observe(now)
-	if gap == 0 {
-		return
-	}
-	d.Log.Info("process did not run", zap.Duration(logging.After, gap), zap.Uint64("Stale", d.stale.Load()))
+// resumed drops the opening packets that this VM held during a suspension of the process.
+// It makes a reader that waits for packets look again whether the socket is empty: the next
+// packet would otherwise count as one that may have waited during the suspension.
+func (d *Daemon) resumed(gap time.Duration, now time.Time) {
+	held := d.core.Resume(now)
+	d.stale.Add(uint64(held))
+	d.Log.Info("process did not run", zap.Duration(logging.After, gap), zap.Int("Held", held), zap.Uint64("Stale", d.stale.Load()))
 	// The error of a closed socket is that of the next read.
 	_ = d.conn.SetReadDeadline(time.Now())
 }
-
-// tooOld reports whether an opening packet has waited in the socket for too long, while
-// this process was suspended.
-func (d *Daemon) tooOld(p *steering.Packet, emptyAt, now time.Time) bool {
-	d.observeRun(now)
-	return p.Opening && p.Stale(d.suspension.MaxAge(emptyAt, now))
-}
--- a/internal/gateway/read_test.go
+++ b/internal/gateway/read_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net"
 	"testing"
 	"time"
@@ -10,6 +11,12 @@
 	"bamboowalk.org/bamboowalk/pkg/steering"
 )
 
+func newSuspensible(conn *net.UDPConn) *Daemon {
+	d := &Daemon{Log: zap.NewNop(), conn: conn, core: steering.New("z0", rand.New(rand.NewPCG(1, 1)))}
+	d.suspension.Resumed = d.resumed
+	return d
+}
+
 // Guards against opening packets that wait in the socket while the process is suspended
 // and are forwarded when it runs again: another VM has forwarded a copy to another target
 // by then. Also guards against the loss of packets that arrive after the suspension.
@@ -28,7 +35,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &Daemon{Log: zap.NewNop(), conn: conn}
+	d := newSuspensible(conn)
 	send := func(n int) {
 		for range n {
 			if _, err := sender.Write([]byte("packet")); err != nil {
@@ -38,18 +45,20 @@
 	}
 	// later shifts the clock of the daemon: the process does not run for that time.
 	later := time.Duration(0)
-	read := func() (old bool) {
+	read := func() (waited bool) {
 		n, err := r.read(make([]byte, bufferSize))
 		if err != nil || n != len("packet") {
 			t.Fatalf("read: got %d bytes, %v", n, err)
 		}
-		return d.tooOld(&steering.Packet{Opening: true}, r.emptyAt.Add(later), time.Now().Add(later))
+		now := time.Now().Add(later)
+		d.suspension.Observe(now)
+		return d.suspension.MaxAge(r.emptyAt.Add(later), now) > 0
 	}
 	r.emptyAt = time.Now()
-	d.observeRun(time.Now())
+	d.suspension.Observe(time.Now())
 	send(1)
 	if read() {
-		t.Error("packet without a suspension: got too old")
+		t.Error("packet without a suspension: got one that waited")
 	}
 	send(3)
 	empty := r.emptyAt
@@ -57,7 +66,7 @@
 	for i := range 3 {
 		r.emptyAt = empty.Add(-later)
 		if !read() {
-			t.Errorf("packet %d that waited during the suspension: got forwarded", i)
+			t.Errorf("packet %d that waited during the suspension: got a new one", i)
 		}
 	}
 	go func() {
@@ -65,7 +74,7 @@
 		send(1)
 	}()
 	if read() {
-		t.Error("packet after the suspension: got too old")
+		t.Error("packet after the suspension: got one that waited")
 	}
 }
 
@@ -86,23 +95,25 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &Daemon{Log: zap.NewNop(), conn: conn}
-	d.observeRun(time.Now())
+	d := newSuspensible(conn)
+	d.suspension.Observe(time.Now())
 	old := make(chan bool, 1)
 	go func() {
 		if _, err := r.read(make([]byte, bufferSize)); err != nil {
 			t.Error(err)
 		}
-		old <- d.tooOld(&steering.Packet{Opening: true, Copy: 2}, r.emptyAt, time.Now())
+		now := time.Now()
+		d.suspension.Observe(now)
+		old <- d.suspension.MaxAge(r.emptyAt, now) > 0
 	}()
-	time.Sleep(800 * time.Millisecond) // without a call of observeRun
-	d.observeRun(time.Now())
+	time.Sleep(800 * time.Millisecond) // without a call of Observe
+	d.suspension.Observe(time.Now())
 	time.Sleep(50 * time.Millisecond)
-	d.observeRun(time.Now())
+	d.suspension.Observe(time.Now())
 	if _, err := sender.Write([]byte("packet")); err != nil {
 		t.Fatal(err)
 	}
 	if <-old {
-		t.Error("first packet after a suspension with an empty socket: got too old")
+		t.Error("first packet after a suspension with an empty socket: got one that waited")
 	}
 }
--- a/pkg/steering/admit.go
+++ b/pkg/steering/admit.go
@@ -50,7 +50,10 @@
 	// heldOpening is an opening packet in the queue of a gate, whose bytes the gate
 	// holds.
 	heldOpening struct {
-		packet  Packet
+		packet Packet
+		// copies contains the copies that have arrived, the first of them at the time since.
+		copies  copySet
+		since   time.Time
 		service fleet.ServiceID
 		gate    *gate
 	}
@@ -88,7 +91,7 @@
 	}
 	var g *gate
 	if h != nil {
-		h.packet, g = *p, h.gate
+		h.packet, h.copies, g = *p, h.copies.with(p.Copy), h.gate
 	} else {
 		g = c.gateOf(s, now)
 	}
@@ -102,7 +105,7 @@
 	}
 	d.Op = Hold
 	if h == nil {
-		h = &heldOpening{packet: *p, service: s.ID, gate: g}
+		h = &heldOpening{packet: *p, copies: copySet(0).with(p.Copy), since: now.Add(-p.Waited), service: s.ID, gate: g}
 		c.held[p.Flow] = h
 		c.waiting.Add(1)
 	}
@@ -187,12 +190,17 @@
 	c.waiting.Add(-1)
 }
 
-// repeatsHeld reports whether an opening packet repeats one that was held and sent
-// to the target of f too recently for an answer. The caller repeats its packets
-// after a fixed time, which says nothing about the target then.
-func (c *Core) repeatsHeld(f *flow, now time.Time) bool {
+// repeatsEarly reports whether an opening packet repeats one that was sent to the target
+// of f too recently for an answer: the first packet was held, or both have waited in the
+// socket. The caller repeats its packets after a fixed time, which says nothing about the
+// target then.
+func (c *Core) repeatsEarly(f *flow, now time.Time) bool {
+	limit := repeatInterval / 2
+	if f.wasHeld {
+		limit = repeatInterval
+	}
 	t := c.view.targets[f.target]
-	return f.wasHeld && now.Sub(f.lastOpening) < repeatInterval && t != nil && c.view.takesNewFlows(t)
+	return now.Sub(f.lastOpening) < limit && t != nil && c.view.takesNewFlows(t)
 }
 
 // beginGated counts the request of a flow as in flight at the gate of its service.
--- a/pkg/steering/backlog.go
+++ b/pkg/steering/backlog.go
@@ -15,11 +15,6 @@
 	dataHoldTime = 1200 * time.Millisecond
 )
 
-// openingHoldTimes contains, for each copy of an opening packet, how long it is
-// worth forwarding. Callers send the copies 0, 200 and 600 ms after the first
-// packet, and give up 1.4 s after it; the answer needs some of that time.
-var openingHoldTimes = [...]time.Duration{1200 * time.Millisecond, time.Second, 600 * time.Millisecond}
-
 type (
 	// Backlog holds the packets that arrive while a VM has no catalog or no targets,
 	// for example after all VMs have lost power. Callers would otherwise repeat them
@@ -37,7 +32,7 @@
 		lastRemoval time.Time
 	}
 
-	// HeldPacket is a packet with its bytes and the time of its arrival.
+	// HeldPacket is a packet with its bytes and the earliest time of its arrival.
 	HeldPacket struct {
 		Packet  Packet
 		Data    []byte
@@ -56,9 +51,11 @@
 	if b.released {
 		return false
 	}
+	h := HeldPacket{Packet: *p, Arrived: now.Add(-p.Waited)}
+	h.Packet.Waited = 0
 	if i, ok := b.opening[p.Flow]; ok && p.Opening {
-		b.packets[i].Packet.Copy, b.packets[i].Arrived = p.Copy, now
-		b.packets[i].Data = append(b.packets[i].Data[:0], data...)
+		h.Data = append(b.packets[i].Data[:0], data...)
+		b.packets[i] = h
 		return true
 	}
 	if b.full(len(data)) && now.Sub(b.lastRemoval) > sweepInterval {
@@ -68,7 +65,8 @@
 		b.dropped++
 		return true
 	}
-	b.add(HeldPacket{Packet: *p, Data: slices.Clone(data), Arrived: now})
+	h.Data = slices.Clone(data)
+	b.add(h)
 	return true
 }
 
@@ -112,4 +110,4 @@
 }
 
 // expired reports whether the packet is no longer worth forwarding.
-func (h *HeldPacket) expired(now time.Time) bool { return h.Packet.Stale(now.Sub(h.Arrived)) }
+func (h *HeldPacket) expired(now time.Time) bool { return h.Packet.Stale(elapsed(h.Arrived, now)) }
--- a/pkg/steering/core.go
+++ b/pkg/steering/core.go
@@ -47,6 +47,8 @@
 	CauseRetryBudget   Cause = "RetryBudget"   // the same, and the caller was refused shortly before
 	CauseTargetLost    Cause = "TargetLost"    // the target of the flow is lost, and the request may be repeated
 	CauseUnconfirmed   Cause = "Unconfirmed"   // no majority of the control VMs has confirmed the view in time
+	CauseSuspended     Cause = "Suspended"     // the opening packet waited while this process was suspended
+	CauseOutdated      Cause = "Outdated"      // the same as NoRoute, NoTarget or NoRegion, by a view from before a suspension of this process
 )
 
 // Causes lists all causes.
@@ -54,7 +56,7 @@
 	CauseOpened, CauseCopy, CauseFlow, CauseCookie, CauseNoCatalog, CauseNoRoute, CauseNoTarget, CauseNoCookie,
 	CauseUnknownCookie, CauseTargetGone, CauseEvacuated, CauseNoRegion, CauseOverload, CauseQueued, CauseNoRoom,
 	CauseCallerShare, CauseRetryBudget, CauseTargetLost,
-	CauseUnconfirmed,
+	CauseUnconfirmed, CauseSuspended, CauseOutdated,
 }
 
 const (
@@ -100,6 +102,9 @@
 		// of bytes that the packet carries.
 		Acknowledged uint32
 		Data         int
+		// Waited is the longest time for which the packet may have waited while this
+		// process was suspended, or 0 if it has not.
+		Waited time.Duration
 	}
 
 	// Decision is the action to take on a packet, and the reason for it.
@@ -240,6 +245,7 @@
 		serviceGates map[fleet.ServiceID]*gate
 		held         map[FlowKey]*heldOpening
 		waiting      atomic.Int64
+		suspended    suspended
 	}
 
 	// flow is a flow whose opening packet this VM has received.
@@ -286,6 +292,7 @@
 		targetLoads:  make(map[Cookie]*targetLoad),
 		serviceLoads: make(map[fleet.ServiceID]*serviceLoad),
 		decisions:    make(map[Cause]uint64),
+		suspended:    suspended{waited: make(map[FlowKey]copySet)},
 	}
 }
 
@@ -349,6 +356,9 @@
 	default:
 		d = c.decideFlow(p, now)
 	}
+	if d.Op == Reset && c.outdated() && (d.Cause == CauseNoRoute || d.Cause == CauseNoTarget || d.Cause == CauseNoRegion) {
+		d.Op, d.Cause = Drop, CauseOutdated
+	}
 	if c.view != nil && c.view.Catalog != nil {
 		d.CatalogNumber = c.view.Catalog.Number
 	}
@@ -381,8 +391,13 @@
 			return Decision{Op: Forward, Cause: CauseFlow, Target: t}
 		}
 	}
+	if p.Waited > 0 {
+		if d, decided := c.decideWaited(p); decided {
+			return d
+		}
+	}
 	isNew := f == nil || f.ended
-	if !isNew && c.repeatsHeld(f, now) {
+	if !isNew && c.repeatsEarly(f, now) {
 		t := c.view.targets[f.target]
 		c.countOpening(c.view.services[f.service], t, now)
 		return Decision{Op: Forward, Cause: CauseCopy, Service: f.service, Target: t}
@@ -481,7 +496,7 @@
 		// A hub that was suspended or has restarted may not know the target. Silence breaks
 		// no flow; a reset would.
 		return Decision{Op: Drop, Cause: CauseUnknownCookie}
-	case t.State == fleet.TargetGone:
+	case t.State == fleet.TargetGone && !c.outdated():
 		return Decision{Op: Reset, Cause: CauseTargetGone}
 	}
 	return Decision{Op: Forward, Cause: CauseFlow, Target: t}
@@ -507,7 +522,7 @@
 	}
 	c.targetLoadOf(k).recordAnswer(f.lastOpening)
 	c.targetLoadOf(k).answeredAt = now
-	if k == f.target && f.lastOpening.Equal(f.started) {
+	if k == f.target && f.lastOpening.Equal(f.started) && !c.spansSuspension(f.lastOpening) {
 		c.serviceLoadOf(f.service).addOpenTime(now.Sub(f.lastOpening))
 	}
 	if c.Observer != nil {
@@ -526,7 +541,7 @@
 	c.targetLoadOf(f.target).running--
 	svcLoad := c.serviceLoadOf(f.service)
 	svcLoad.running--
-	if f.opened && closed && !f.reused {
+	if f.opened && closed && !f.reused && !c.spansSuspension(f.lastOpening) {
 		svcLoad.addSample(float64(now.Sub(f.lastOpening))/float64(f.route.Objective), now)
 	}
 	if c.Observer != nil {
@@ -560,7 +575,7 @@
 	switch {
 	case t == nil:
 		return Decision{Op: Drop, Cause: CauseUnknownCookie}
-	case t.State == fleet.TargetGone:
+	case t.State == fleet.TargetGone && !c.outdated():
 		return Decision{Op: Reset, Cause: CauseTargetGone}
 	case c.resetsLost(p, nil, k, now):
 		return Decision{Op: Reset, Cause: CauseTargetLost, Service: t.ID.Service, Target: t}
--- a/pkg/steering/fleetload.go
+++ b/pkg/steering/fleetload.go
@@ -169,7 +169,7 @@
 // measureRequest records the time of the request in flight of a flow, whose caller
 // has acknowledged a part of the response.
 func (c *Core) measureRequest(f *flow, now time.Time) {
-	if c.Estimate == nil || !f.request.inFlight {
+	if c.Estimate == nil || !f.request.inFlight || c.spansSuspension(f.request.sentAt) {
 		return
 	}
 	if t := c.view.targets[f.target]; t != nil {
--- a/pkg/steering/lost.go
+++ b/pkg/steering/lost.go
@@ -142,7 +142,7 @@
 			if waits && now.Sub(o.sentAt) < limit {
 				break
 			}
-			if waits {
+			if waits && !c.spansSuspension(o.sentAt) {
 				c.doubtEarly(f.target, o.sentAt, now)
 			}
 			n++
@@ -333,7 +333,7 @@
 // that is not idempotent and of which the target may have received a packet is left
 // alone until goneTime after that packet.
 func (c *Core) resetsLost(p *Packet, f *flow, k Cookie, now time.Time) bool {
-	if p.Data == 0 || !c.isLost(k, c.targetLoads[k]) {
+	if p.Data == 0 || c.outdated() || !c.isLost(k, c.targetLoads[k]) {
 		return false
 	}
 	if f == nil {
--- a/pkg/steering/overdue.go
+++ b/pkg/steering/overdue.go
@@ -46,7 +46,7 @@
 // checkOverdue marks a flow and its target as overdue if the response did not
 // begin within the objective.
 func (c *Core) checkOverdue(k FlowKey, f *flow, now time.Time) {
-	if f.overdue || now.Sub(f.requestTime) <= f.route.Objective {
+	if f.overdue || c.spansSuspension(f.requestTime) || now.Sub(f.requestTime) <= f.route.Objective {
 		return
 	}
 	f.overdue = true
