replica: a joint config replaces a voter, and no step needs the newcomer

Cause: with 2F+1 voters the successor was promoted before its predecessor was removed. A quorum of the 2F+2 voters in between is the F+1 that run and the successor. A voter that had died less than an election timeout ago counted as reachable, and the removal of the silent voter waited for a change of learners that needed it to be committed.

Why it works: the newcomer replaces the silent voter in one change, decided by a majority of the old and one of the new voters, so that the F+1 that run suffice at each step. It becomes a further voter only if no voter can be its predecessor, because each has answered a heartbeat from after its admission, and the others have a quorum of the new config. The exhaustive model has joint configs now. It showed that an outgoing voter must not leave the joint config as the leader; it transfers its leadership. No quorum is lowered and no membership forced.

The model lets a disk be lost if no more than F are lost after it, of the old or of the new voters, which allows more losses than before.

--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"bamboowalk.org/bamboowalk/pkg/fleet"
 	"github.com/fxamacker/cbor/v2"
@@ -26,11 +27,21 @@
 	Member struct {
 		Identity
 		Voter bool `cbor:"3,keyasint"`
+		// Outgoing and Incoming are set in joint configs, for a voter that belongs to
+		// the old voters only, and for one that belongs to the new voters only.
+		Outgoing bool `cbor:"4,keyasint,omitempty"`
+		Incoming bool `cbor:"5,keyasint,omitempty"`
 	}
 
-	// Config is the set of members. Two consecutive configs in a log differ by
-	// at most one voter, so that any quorum of one intersects any quorum of the
-	// other.
+	// Config is the set of members. Consecutive configs in a log differ by at most one
+	// voter, so that any quorum of one intersects any quorum of the other, or one of
+	// them is joint.
+	//
+	// A joint config replaces a voter, as in section 4.3 of Ongaro's dissertation on
+	// Raft ("Consensus: Bridging Theory and Practice", 2014). A quorum of it is one of
+	// the old voters and one of the new voters. So neither the voter that leaves nor
+	// the one that comes is needed at any time. The config without the outgoing voter
+	// follows once the joint one is committed.
 	Config struct {
 		Members []Member `cbor:"1,keyasint"`
 	}
@@ -51,7 +62,8 @@
 		}
 		seen[m.VM] = true
 	}
-	if len(c.voters()) == 0 {
+	old, next := c.voterSets()
+	if len(old) == 0 || len(next) == 0 {
 		return &fleet.FieldError{Type: "Config", Field: "Members", Reason: "must include a voter"}
 	}
 	return nil
@@ -81,24 +93,57 @@
 	return m != nil && m.Voter && m.Identity == id
 }
 
-// hasQuorum reports whether the voters for which counts returns true form a
-// quorum.
-func (c *Config) hasQuorum(counts func(Identity) bool) bool {
-	voters := c.voters()
+// joint reports whether the config is joint.
+func (c *Config) joint() bool {
+	return slices.ContainsFunc(c.Members, func(m Member) bool { return m.Outgoing || m.Incoming })
+}
+
+// voterSets returns the old and the new voters. They are the same unless the config is
+// joint.
+func (c *Config) voterSets() (old, next []Identity) {
+	for _, m := range c.Members {
+		if m.Voter && !m.Incoming {
+			old = append(old, m.Identity)
+		}
+		if m.Voter && !m.Outgoing {
+			next = append(next, m.Identity)
+		}
+	}
+	return old, next
+}
+
+// spare returns how many of the voters for which counts returns true may be missing
+// until the others are no quorum. The result is negative if they are none now.
+func (c *Config) spare(counts func(Identity) bool) int {
+	old, next := c.voterSets()
+	return min(spareOf(old, counts), spareOf(next, counts))
+}
+
+func spareOf(voters []Identity, counts func(Identity) bool) int {
 	n := 0
 	for _, id := range voters {
 		if counts(id) {
 			n++
 		}
 	}
-	return n > len(voters)/2
+	return n - len(voters)/2 - 1
 }
 
+// hasQuorum reports whether the voters for which counts returns true form a
+// quorum.
+func (c *Config) hasQuorum(counts func(Identity) bool) bool { return c.spare(counts) >= 0 }
+
 // quorumValue returns the highest value that a quorum of voters has reached;
 // value returns the value of one voter.
 func quorumValue[T ~uint64](c *Config, value func(Identity) T) T {
+	old, next := c.voterSets()
+	return min(medianValue(old, value), medianValue(next, value))
+}
+
+// medianValue returns the highest value that more than half of the voters have reached.
+func medianValue[T ~uint64](voters []Identity, value func(Identity) T) T {
 	var values []T
-	for _, id := range c.voters() {
+	for _, id := range voters {
 		values = append(values, value(id))
 	}
 	slices.Sort(values)
@@ -118,6 +163,41 @@
 	return Config{Members: slices.DeleteFunc(members, func(m Member) bool { return m.VM == vm })}
 }
 
+// withReplacement returns the joint config in which the learner next replaces the voter
+// former.
+func (c *Config) withReplacement(former fleet.VMID, next Identity) Config {
+	joint := c.withMember(Member{Identity: next, Voter: true, Incoming: true})
+	joint.find(former).Outgoing = true
+	return joint
+}
+
+// withoutOutgoing returns the config that follows a joint one, and the member that
+// leaves.
+func (c *Config) withoutOutgoing() (next Config, former fleet.VMID) {
+	for _, m := range c.Members {
+		if m.Outgoing {
+			former = m.VM
+			continue
+		}
+		m.Incoming = false
+		next.Members = append(next.Members, m)
+	}
+	return next, former
+}
+
+// sameVoters reports whether two configs have the same quorums.
+func (c *Config) sameVoters(other *Config) bool {
+	return !c.joint() && !other.joint() && maps.Equal(c.voterSet(), other.voterSet())
+}
+
+func (c *Config) voterSet() map[Identity]bool {
+	set := map[Identity]bool{}
+	for _, id := range c.voters() {
+		set[id] = true
+	}
+	return set
+}
+
 func decodeConfig(data []byte) (Config, error) {
 	var c Config
 	if err := decMode.Unmarshal(data, &c); err != nil {
@@ -186,6 +266,9 @@
 	if err := r.checkLeader(); err != nil {
 		return 0, err
 	}
+	if !r.configCommitted() || r.config().joint() {
+		return 0, uncommittedError(vm)
+	}
 	c := r.config()
 	switch kind {
 	case AddLearner:
@@ -215,14 +298,38 @@
 	return r.commit >= max(r.configs[len(r.configs)-1].index, r.noopIndex)
 }
 
+func uncommittedError(vm fleet.VMID) *MembershipError {
+	return &MembershipError{VM: vm, Reason: "an earlier membership change or the first entry of the term is not committed"}
+}
+
+// votersCommitted reports whether the voters of the newest config are those of a
+// committed one, and the first entry of the leader's own term is committed. The quorums
+// of a config that differs by one voter then intersect those of all configs that a
+// replica may have.
+func (r *Replica) votersCommitted() bool {
+	if r.commit < r.noopIndex {
+		return false
+	}
+	c := r.configAt(r.commit)
+	for i := range r.configs {
+		if e := &r.configs[i]; e.index > r.commit && !e.config.sameVoters(&c) {
+			return false
+		}
+	}
+	return true
+}
+
 // proposeConfig appends an entry with the config next, which adds, changes or
 // removes the member vm. It returns a MembershipError unless a quorum of the
 // new voters is reachable, and the previous config and an entry of the leader's
 // own term are committed. If no entry of the leader's own term were committed,
-// two leaders could use configs whose quorums do not intersect.
+// two leaders could use configs whose quorums do not intersect. The removal of a
+// voter does not wait for a previous config that changes learners only, which may
+// be impossible to commit without it.
 func (r *Replica) proposeConfig(vm fleet.VMID, next Config) (ProposalID, error) {
-	if !r.configCommitted() {
-		return 0, &MembershipError{VM: vm, Reason: "an earlier membership change or the first entry of the term is not committed"}
+	removal := len(next.voters()) < len(r.config().voters()) && !r.config().joint()
+	if !r.configCommitted() && !(removal && r.votersCommitted()) {
+		return 0, uncommittedError(vm)
 	}
 	if !next.hasQuorum(r.recentlyActive) {
 		return 0, &MembershipError{VM: vm, Reason: "fewer than a quorum of the new voters are reachable"}
@@ -238,14 +345,27 @@
 	return id, nil
 }
 
-// manageMembers proposes at most one change: the removal of an unreachable
-// member, the replacement of a member by a learner with another incarnation of
-// the same VM, the promotion of a learner, or the admission of a new replica.
+// manageMembers proposes at most one change: the end of a joint config, the removal of
+// an unreachable member, the replacement of a member by a learner with another
+// incarnation of the same VM, the promotion of a learner, or the admission of a new
+// replica.
 // Whether a learner can be promoted is decided from its match index (see
 // promotable): the entries up to that index are durable at the learner, because
 // a replica replies only after a sync.
 func (r *Replica) manageMembers() {
 	c := r.config()
+	if c.joint() {
+		next, former := c.withoutOutgoing()
+		if former == r.self.VM {
+			// Only this replica would hold the entry of a config by which it can't be
+			// elected, and the others may need its vote. Without another active voter, it
+			// goes on to lead.
+			_ = r.transfer()
+			return
+		}
+		r.proposeInternalChange(former, next)
+		return
+	}
 	if vm := r.removableMember(); vm != "" {
 		r.proposeInternalChange(vm, c.withoutMember(vm))
 		return
@@ -255,8 +375,8 @@
 			r.proposeInternalChange(m.VM, c.withMember(Member{Identity: Identity{VM: m.VM, Incarnation: inc}}))
 			return
 		}
-		if r.promotable(&m) {
-			r.proposeInternalChange(m.VM, c.withMember(Member{Identity: m.Identity, Voter: true}))
+		if next, ok := r.promotion(&m); ok {
+			r.proposeInternalChange(m.VM, next)
 			return
 		}
 	}
@@ -271,10 +391,45 @@
 	}
 }
 
+// promotion returns the config in which a learner votes, and reports whether it may be
+// proposed now. The learner may fail at any moment, so that the new config must have a
+// quorum without it.
+//
+// The predecessor of a newcomer, which is gone, may still be a voter. A voter that has
+// answered a heartbeat from after the admission of the newcomer is not. If each voter has,
+// the learner becomes a further voter. Otherwise it replaces one that has been silent for
+// an ElectionTimeout, in a joint config. While there is no such voter, the learner waits,
+// unless the quorum of the present voters does not grow.
+func (r *Replica) promotion(m *Member) (Config, bool) {
+	if !r.promotable(m) {
+		return Config{}, false
+	}
+	c, p := r.config(), r.progress[m.VM]
+	var former Identity
+	longest, unheard := time.Duration(0), false
+	for _, id := range c.voters() {
+		v := r.progressOf(id)
+		if id == r.self || v == nil || v.round > p.admittedRound {
+			continue
+		}
+		unheard = true
+		if silence := r.electionClock - v.lastContact; silence >= r.opts.ElectionTimeout && silence > longest {
+			former, longest = id, silence
+		}
+	}
+	next := c.withMember(Member{Identity: m.Identity, Voter: true})
+	switch {
+	case former.VM != "":
+		next = c.withReplacement(former.VM, m.Identity)
+	case unheard && len(c.voters())%2 == 1:
+		return Config{}, false
+	}
+	return next, next.hasQuorum(func(id Identity) bool { return id != m.Identity && r.recentlyActive(id) })
+}
+
 // promotable reports whether a member is a learner that has answered just now, and whose
 // durable log has reached the first entry of the leader's term and what was committed an
-// ElectionTimeout ago or later. Each quorum may need the new voter at once, so it must not
-// be one that has failed since the last heartbeat. A learner that reaches its goal too late
+// ElectionTimeout ago or later. A learner that reaches its goal too late
 // gets the present commit index as the next goal. A smaller lag can't be asked for: with
 // continuous writes, a learner with a slow disk or processor always lags behind.
 func (r *Replica) promotable(m *Member) bool {
@@ -289,8 +444,8 @@
 	return inTime
 }
 
-// removableMember returns a removable member, or "" if there is none. A member is
-// removable after a silence of RemoveAfter, and a voter already after ElectionTimeout if
+// removableMember returns a removable member, a voter if one is, or "" if there is none. A
+// member is removable after a silence of RemoveAfter, and a voter already after ElectionTimeout if
 // the loss of one more voter would stop the log, or that of Tolerance more although
 // successors have become voters.
 //
@@ -312,27 +467,23 @@
 	if spare := r.spareVoters(); spare < 1 || spare < r.opts.Tolerance && r.activeVoters() > needed {
 		voterLimit = min(voterLimit, r.opts.ElectionTimeout)
 	}
+	learner := fleet.VMID("")
 	for _, m := range c.Members {
 		p := r.progressOf(m.Identity)
-		if m.Identity == r.self || p == nil || m.Voter && keepVoters {
-			continue
-		}
-		limit := r.opts.RemoveAfter
-		if m.Voter {
-			limit = voterLimit
-		}
-		if r.electionClock-p.lastContact >= limit {
+		switch {
+		case m.Identity == r.self || p == nil:
+		case m.Voter && !keepVoters && r.electionClock-p.lastContact >= voterLimit:
 			return m.VM
+		case !m.Voter && r.electionClock-p.lastContact >= r.opts.RemoveAfter:
+			learner = m.VM
 		}
 	}
-	return ""
+	return learner
 }
 
 // spareVoters returns the number of voters that may still be lost before no quorum of
 // recently active voters is left.
-func (r *Replica) spareVoters() int {
-	return r.activeVoters() - len(r.config().voters())/2 - 1
-}
+func (r *Replica) spareVoters() int { return r.config().spare(r.recentlyActive) }
 
 func (r *Replica) activeVoters() int {
 	n := 0
--- a/pkg/replica/doc.go
+++ b/pkg/replica/doc.go
@@ -27,9 +27,14 @@
 //     leader promotes the learner once the learner's durable log has reached the
 //     first entry of the leader's term and a commit index that is less than
 //     ElectionTimeout old. Learners get committed entries only.
-//   - Consecutive configs differ by at most one voter. A config is proposed
+//   - Consecutive configs differ by at most one voter, or one of them is joint: a
+//     quorum is then one of the old and one of the new voters. A config is proposed
 //     only after the previous config and an entry of the leader's own term are
-//     committed.
+//     committed, except that the removal of a voter does not wait for a change of
+//     learners.
+//   - No step of an admission needs the newcomer, which may fail at any moment: when
+//     a learner is promoted, the other voters have a quorum of the new config. A voter
+//     that may be its predecessor is replaced in a joint config.
 //   - For ElectionTimeout after the start of a replica, and after each Append
 //     or SnapshotChunk from the current leader, the replica neither grants
 //     votes nor adopts the term of a candidate, except in a leadership
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -57,6 +57,9 @@
 		probeNow    bool
 		round       uint64        // newest round that the member has answered
 		lastContact time.Duration // on the election clock
+		// admittedRound is the newest heartbeat round when this leader learnt of the
+		// member.
+		admittedRound uint64
 		// goal is the index that a learner must reach in order to be promoted, and
 		// goalSet is the time on the election clock at which it was the commit index.
 		goal     Index
@@ -122,7 +125,7 @@
 		// A new member counts as recently active at first. An unreachable
 		// member stops counting as active after ElectionTimeout without contact.
 		r.progress[m.VM] = &progress{incarnation: m.Incarnation, next: r.lastIndex() + 1, probing: true, lastContact: r.electionClock,
-			goal: r.commit, goalSet: r.electionClock}
+			admittedRound: r.round, goal: r.commit, goalSet: r.electionClock}
 	}
 }
 
@@ -218,9 +221,14 @@
 	if err := r.checkLeader(); err != nil {
 		return err
 	}
+	return r.transfer()
+}
+
+func (r *Replica) transfer() error {
 	var candidate Identity
 	match := Index(0)
-	for _, id := range r.config().voters() {
+	_, next := r.config().voterSets()
+	for _, id := range next {
 		p := r.progressOf(id)
 		if p != nil && p.match > match && r.recentlyActive(id) {
 			candidate, match = id, p.match
@@ -261,8 +269,8 @@
 		return
 	}
 	r.observeSilence()
-	r.manageMembers()
 	r.heartbeatDue = true
+	r.manageMembers()
 }
 
 // broadcast sends missing entries to each member, and a heartbeat if one is due.
--- a/pkg/replica/members_test.go
+++ b/pkg/replica/members_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bamboowalk.org/bamboowalk/pkg/fleet"
+	"github.com/fxamacker/cbor/v2"
 )
 
 // memberCluster runs replicas that are replaced at new addresses, without delays and in
@@ -468,6 +469,127 @@
 	c.checkMembers("after the newcomer was lost")
 }
 
+// Guards against a step of an admission or of a promotion that needs the newcomer: it and
+// each of its successors are lost at the same moment after their start, from before the
+// first message to after the last. F+1 voters run all the while, and commit each command
+// at once.
+func TestNewcomersLostAtAnyMoment(t *testing.T) {
+	const successors = 4
+	for _, tolerance := range []int{1, 2} {
+		for _, rest := range []time.Duration{0, 1500 * time.Millisecond} {
+			for life := time.Duration(0); life < 2500*time.Millisecond; life += 60 * time.Millisecond {
+				vms := sixVMs[:2*tolerance+1]
+				c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: tolerance}, vms...)
+				commit := func(d time.Duration) {
+					for end := c.now.Add(d); c.now.Before(end); c.run(c.interval) {
+						c.propose()
+					}
+				}
+				lost := c.followers(vms...)[:tolerance]
+				c.lose(lost...)
+				for i := range successors {
+					commit(rest)
+					vm := fleet.VMID(fmt.Sprint("x", i))
+					c.start(vm, vms...)
+					commit(life)
+					c.lose(vm)
+				}
+				for i := range tolerance {
+					c.start(fleet.VMID(fmt.Sprint("y", i)), vms...)
+				}
+				commit(repairBound - 5*time.Second)
+				c.checkMembers(fmt.Sprintf("tolerance %d, lives of %v with pauses of %v", tolerance, life, rest))
+				if t.Failed() {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Guards against the removal of a silent voter that waits for a change of learners, which
+// can't be committed without the removal: both voters that run would be left without a
+// leader.
+func TestRemovalDoesNotWaitForLearners(t *testing.T) {
+	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 1}, "a", "b", "c", "d")
+	l := c.leader()
+	lost := c.followers("a", "b", "c", "d")
+	c.lose(lost[0])
+	c.run(600 * time.Millisecond)
+	c.lose(lost[1])
+	l.joinRequests["x"] = 1
+	l.manageMembers()
+	if l.configCommitted() || !l.votersCommitted() {
+		t.Fatal("the admission of x is committed, want it to wait for a quorum")
+	}
+	c.run(3 * time.Second)
+	if c.leader() == nil {
+		t.Fatal("no leader")
+	}
+	c.propose()
+}
+
+// Guards against a joint config that is not left, and against quorums of a joint config
+// without a majority of the old or of the new voters.
+func TestJointConfig(t *testing.T) {
+	id := func(vm fleet.VMID) Identity { return Identity{VM: vm, Incarnation: 1} }
+	c := Config{Members: append(voters([]fleet.VMID{"a", "b", "c"}), Member{Identity: id("x")})}
+	joint := c.withReplacement("c", id("x"))
+	for _, test := range []struct {
+		have []fleet.VMID
+		want bool
+	}{
+		{[]fleet.VMID{"a", "b"}, true},
+		{[]fleet.VMID{"a", "c"}, false},
+		{[]fleet.VMID{"a", "x"}, false},
+		{[]fleet.VMID{"c", "x"}, false},
+		{[]fleet.VMID{"a", "c", "x"}, true},
+	} {
+		if got := joint.hasQuorum(func(id Identity) bool { return slices.Contains(test.have, id.VM) }); got != test.want {
+			t.Errorf("%v: got quorum %v, want %v", test.have, got, test.want)
+		}
+	}
+	if err := joint.Validate(); err != nil || !joint.joint() || joint.sameVoters(&joint) || len(joint.voters()) != 4 {
+		t.Errorf("joint config: got %+v, %v", joint, err)
+	}
+	next, former := joint.withoutOutgoing()
+	want := Config{Members: voters([]fleet.VMID{"a", "b", "x"})}
+	if former != "c" || next.joint() || !next.sameVoters(&want) {
+		t.Errorf("after the joint config: got %+v without %s, want %+v without c", next, former, want)
+	}
+	data, err := cbor.Marshal(&joint)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := decodeConfig(data); err != nil || !slices.Equal(got.Members, joint.Members) {
+		t.Errorf("decoded: got %+v, %v, want %+v", got, err, joint)
+	}
+}
+
+// Guards against a leader that leaves a joint config as the outgoing voter: the others
+// might need its vote, which it would refuse them for an entry that only it holds.
+func TestOutgoingLeader(t *testing.T) {
+	c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 1}, "a", "b", "c")
+	l := c.leader()
+	config := l.config().withMember(Member{Identity: Identity{VM: "x", Incarnation: 1}})
+	joint := config.withReplacement(l.self.VM, Identity{VM: "x", Incarnation: 1})
+	data, err := cbor.Marshal(&joint)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.appendNewEntry(ConfigEntry, data)
+	l.updateProgress()
+	c.run(2 * time.Second)
+	if got := c.leader(); got == nil || got.self == l.self {
+		t.Fatalf("leader: got %+v, want another one", got)
+	}
+	c.run(5 * time.Second)
+	if l := c.leader(); l.config().joint() || l.config().find("x") != nil && l.config().find("x").Outgoing {
+		t.Errorf("members: got %+v, want no joint config", l.Members())
+	}
+	c.propose()
+}
+
 // Guards against the removal of voters that are only cut off: they are needed when
 // others lose their disks during the cut.
 func TestDisksLostDuringCut(t *testing.T) {
--- a/pkg/replica/model_test.go
+++ b/pkg/replica/model_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,6 +29,10 @@
 	modelAbsent = iota
 	modelLearner
 	modelVoter
+	// modelOutgoing and modelIncoming are voters of the old and of the new voters of a
+	// joint config.
+	modelOutgoing
+	modelIncoming
 )
 
 type (
@@ -85,6 +90,9 @@
 		// acknowledged entry. With removeBelow, voters are also removed when no more
 		// than 2*tolerance+1 are left.
 		automatic, removeBelow bool
+		// leaveEarly leaves a joint config before it is committed, and leaveAsOutgoing
+		// lets the outgoing voter leave it as the leader.
+		leaveEarly, leaveAsOutgoing bool
 		// uncommittedToLearners lets leaders send learners entries that are not committed.
 		uncommittedToLearners bool
 	}
@@ -202,14 +210,45 @@
 	return modelLogSize + 1
 }
 
-// voters returns the VMs that are voters, and the size of a quorum.
-func (c *modelMembers) voters() (ids []int, quorum int) {
+func (x modelMember) votes() bool { return x.role >= modelVoter }
+
+// voters returns the VMs that are voters.
+func (c *modelMembers) voters() (ids []int) {
 	for i, x := range c {
-		if x.role == modelVoter {
+		if x.votes() {
 			ids = append(ids, i)
 		}
 	}
-	return ids, len(ids)/2 + 1
+	return ids
+}
+
+func (c *modelMembers) joint() bool {
+	for _, x := range c {
+		if x.role > modelVoter {
+			return true
+		}
+	}
+	return false
+}
+
+// hasQuorum reports whether the VMs for which counts returns true form a quorum.
+func (c *modelMembers) hasQuorum(counts func(int) bool) bool {
+	for _, without := range []uint8{modelIncoming, modelOutgoing} {
+		voters, n := 0, 0
+		for i, x := range c {
+			if !x.votes() || x.role == without {
+				continue
+			}
+			voters++
+			if counts(i) {
+				n++
+			}
+		}
+		if n <= voters/2 {
+			return false
+		}
+	}
+	return true
 }
 
 // check reports a violation if a leader could serve a read that misses an
@@ -226,15 +265,11 @@
 			continue
 		}
 		c, _ := l.config()
-		ids, quorum := c.voters()
-		followers := 0
-		for _, j := range ids {
-			if c[j].incarnation == s.vms[j].incarnation && s.vms[j].term <= l.term {
-				followers++
-			}
-		}
+		follows := c.hasQuorum(func(j int) bool {
+			return c[j].incarnation == s.vms[j].incarnation && s.vms[j].term <= l.term
+		})
 		for d := range s.nextData {
-			if followers >= quorum && s.ackedData&(1<<d) != 0 && !l.holds(d, l.commit) {
+			if follows && s.ackedData&(1<<d) != 0 && !l.holds(d, l.commit) {
 				m.violation = fmt.Sprintf("leader %d of term %d serves reads without acknowledged entry %d", i, l.term, d)
 			}
 		}
@@ -247,19 +282,15 @@
 	for i := range m.replicas + m.spares {
 		v := &s.vms[i]
 		c, _ := v.config()
-		if c == nil || c[i] != (modelMember{modelVoter, v.incarnation}) {
+		if c == nil || !c[i].votes() || c[i].incarnation != v.incarnation {
 			continue
 		}
-		ids, quorum := c.voters()
-		votes := 0
-		for _, j := range ids {
+		elected := c.hasQuorum(func(j int) bool {
 			f := &s.vms[j]
 			upToDate := v.lastTerm() > f.lastTerm() || v.lastTerm() == f.lastTerm() && v.length >= f.length
-			if c[j].incarnation == f.incarnation && upToDate {
-				votes++
-			}
-		}
-		if votes < quorum {
+			return c[j].incarnation == f.incarnation && upToDate
+		})
+		if !elected {
 			continue
 		}
 		for d := range s.nextData {
@@ -275,7 +306,8 @@
 // lostDisks returns the number of disks that count as lost. With automatic, a lost disk
 // counts in each config that has it as a voter, and also while fewer voters than
 // 2*concurrentLosses+1 are left because its VM, or the one that replaces it, does not
-// vote yet.
+// vote yet. Of a joint config, the old or the new voters count, whichever have lost more:
+// a newcomer may be lost together with the voter that it replaces.
 func (m *changeModel) lostDisks(s *modelState) int {
 	most := 0
 	for k := range m.replicas + m.spares {
@@ -283,19 +315,21 @@
 		if c == nil {
 			continue
 		}
-		voters, lost, waiting := 0, 0, 0
-		for j := range m.replicas + m.spares {
-			switch {
-			case c[j].role == modelVoter:
-				voters++
-				if c[j].incarnation != s.vms[j].incarnation {
-					lost++
+		for _, without := range []uint8{modelIncoming, modelOutgoing} {
+			voters, lost, waiting := 0, 0, 0
+			for j := range m.replicas + m.spares {
+				switch {
+				case c[j].votes() && c[j].role != without:
+					voters++
+					if c[j].incarnation != s.vms[j].incarnation {
+						lost++
+					}
+				case s.vms[j].incarnation > 0:
+					waiting++
 				}
-			case s.vms[j].incarnation > 0:
-				waiting++
 			}
+			most = max(most, lost+min(waiting, max(0, 2*m.concurrentLosses+1-voters)))
 		}
-		most = max(most, lost+min(waiting, max(0, 2*m.concurrentLosses+1-voters)))
 	}
 	return most
 }
@@ -322,19 +356,18 @@
 // VM i is the leader of the term. VM i must be a voter.
 func (m *changeModel) elect(s *modelState, i int, term uint8) {
 	c, _ := s.vms[i].config()
-	if c == nil || c[i] != (modelMember{modelVoter, s.vms[i].incarnation}) || s.vms[i].length >= modelLogSize {
+	if c == nil || !c[i].votes() || c[i].incarnation != s.vms[i].incarnation || s.vms[i].length >= modelLogSize {
 		return
 	}
-	ids, quorum := c.voters()
 	var eligible []int
-	for _, j := range ids {
+	for _, j := range c.voters() {
 		v := &s.vms[j]
 		upToDate := s.vms[i].lastTerm() > v.lastTerm() || s.vms[i].lastTerm() == v.lastTerm() && s.vms[i].length >= v.length
 		if j != i && c[j].incarnation == v.incarnation && v.term < term && upToDate {
 			eligible = append(eligible, j)
 		}
 	}
-	m.choose(eligible, quorum-1, nil, func(votes []int) {
+	m.chooseQuorum(c, i, eligible, func(votes []int) {
 		n := *s
 		for _, j := range votes {
 			n.vms[j].term, n.vms[j].isLeader = term, false
@@ -353,6 +386,21 @@
 	})
 }
 
+// chooseQuorum calls fn with each combination of the eligible VMs that is a quorum
+// together with VM i, and is none without any of them.
+func (m *changeModel) chooseQuorum(c *modelMembers, i int, eligible []int, fn func([]int)) {
+	for k := range len(eligible) + 1 {
+		m.choose(eligible, k, nil, func(votes []int) {
+			without := func(left int) bool {
+				return c.hasQuorum(func(j int) bool { return j == i || j != left && slices.Contains(votes, j) })
+			}
+			if without(-1) && !slices.ContainsFunc(votes, without) {
+				fn(votes)
+			}
+		})
+	}
+}
+
 // choose calls fn with each combination of k of the ids.
 func (m *changeModel) choose(ids []int, k int, chosen []int, fn func([]int)) {
 	switch {
@@ -376,16 +424,13 @@
 	for j := range m.replicas + m.spares {
 		for k := range m.replicas + m.spares {
 			c, _ := s.vms[k].config()
-			if c != nil && c[j].role == modelVoter && (c[j].incarnation != s.vms[j].incarnation || m.keepIncarnation && s.vms[j].length == 0) {
+			if c != nil && c[j].votes() && (c[j].incarnation != s.vms[j].incarnation || m.keepIncarnation && s.vms[j].length == 0) {
 				lost++
 				break
 			}
 		}
 	}
-	if m.automatic {
-		lost = m.lostDisks(s)
-	}
-	if lost >= m.concurrentLosses {
+	if !m.automatic && lost >= m.concurrentLosses {
 		return
 	}
 	n := *s
@@ -395,6 +440,9 @@
 	}
 	n.vms[i] = modelReplica{incarnation: inc}
 	n.losses++
+	if m.automatic && m.lostDisks(&n) > m.concurrentLosses {
+		return
+	}
 	m.push(&n)
 }
 
@@ -445,19 +493,15 @@
 func (m *changeModel) commit(s *modelState, i int) {
 	l := &s.vms[i]
 	c, _ := l.config()
-	ids, quorum := c.voters()
 	for at := l.length; at > l.commit; at-- {
 		if l.log[at-1].term != l.term {
 			break
 		}
-		n := 0
-		for _, j := range ids {
+		held := c.hasQuorum(func(j int) bool {
 			f := &s.vms[j]
-			if j == i || c[j].incarnation == f.incarnation && f.term == l.term && f.length >= at && f.log[at-1] == l.log[at-1] {
-				n++
-			}
-		}
-		if n >= quorum {
+			return j == i || c[j].incarnation == f.incarnation && f.term == l.term && f.length >= at && f.log[at-1] == l.log[at-1]
+		})
+		if held {
 			l.commit = at
 			break
 		}
@@ -473,6 +517,22 @@
 func (m *changeModel) change(s *modelState, i int) {
 	l := &s.vms[i]
 	c, at := l.config()
+	if c[i].role == modelOutgoing && !m.leaveAsOutgoing {
+		return // the leader transfers its leadership
+	}
+	if c.joint() && (at <= l.commit || m.leaveEarly) && l.length < modelLogSize {
+		next := *c
+		for j := range next {
+			switch next[j].role {
+			case modelOutgoing:
+				next[j] = modelMember{}
+			case modelIncoming:
+				next[j].role = modelVoter
+			}
+		}
+		m.propose(s, i, next)
+		return
+	}
 	if at > l.commit || l.length >= modelLogSize || !m.changeBeforeCommit && l.commit < l.noop() {
 		return
 	}
@@ -498,7 +558,11 @@
 	for j := range c {
 		hasCaughtUp = hasCaughtUp || caughtUp(j)
 	}
-	ids, _ := c.voters()
+	ids := c.voters()
+	whole := true // each voter has its disk
+	for _, j := range ids {
+		whole = whole && c[j].incarnation == s.vms[j].incarnation
+	}
 	for j := range m.replicas + m.spares {
 		next := *c
 		switch {
@@ -507,6 +571,8 @@
 		case c[j].role == modelAbsent || c[j].incarnation < s.vms[j].incarnation:
 			next[j] = modelMember{modelLearner, s.vms[j].incarnation}
 			m.propose(s, i, next)
+		case caughtUp(j) && m.automatic:
+			m.promote(s, i, j, whole || len(ids)%2 == 0)
 		case caughtUp(j):
 			next[j].role = modelVoter
 			m.propose(s, i, next)
@@ -527,6 +593,31 @@
 	}
 }
 
+// promote proposes that VM j votes, as promotion does: as a further voter, if that is
+// allowed, or in the place of another one, which may be any that is silent. The others
+// must have a quorum of the new config.
+func (m *changeModel) promote(s *modelState, i, j int, further bool) {
+	c, _ := s.vms[i].config()
+	propose := func(next modelMembers, silent int) {
+		if next.hasQuorum(func(k int) bool { return k != j && k != silent && c[k].incarnation == s.vms[k].incarnation }) {
+			m.propose(s, i, next)
+		}
+	}
+	if further {
+		next := *c
+		next[j].role = modelVoter
+		propose(next, -1)
+	}
+	for _, k := range c.voters() {
+		if k == i {
+			continue
+		}
+		next := *c
+		next[j].role, next[k].role = modelIncoming, modelOutgoing
+		propose(next, k)
+	}
+}
+
 func (m *changeModel) propose(s *modelState, i int, c modelMembers) {
 	n := *s
 	l := &n.vms[i]
@@ -560,6 +651,10 @@
 		"6 replicas, automatic, removal of too many":   {modelBounds{replicas: 6, concurrentLosses: 2, terms: 2, data: 1, configs: 2, totalLosses: 2, automatic: true, removeBelow: true}, true},
 		"3 replicas, learners get uncommitted entries": {modelBounds{replicas: 3, spares: 1, learners: true, concurrentLosses: 1, terms: 2, configs: 1, totalLosses: 1, automatic: true, uncommittedToLearners: true}, true},
 		"3 replicas, learners get committed entries":   {modelBounds{replicas: 3, spares: 1, learners: true, concurrentLosses: 1, terms: 2, configs: 1, totalLosses: 1, automatic: true}, false},
+		"3 replicas, a successor is lost as well":      {modelBounds{replicas: 3, spares: 1, learners: true, concurrentLosses: 1, terms: 2, data: 1, configs: 3, totalLosses: 2, automatic: true}, false},
+		"5 replicas, a successor is lost as well":      {modelBounds{replicas: 5, spares: 1, learners: true, concurrentLosses: 2, terms: 2, configs: 2, totalLosses: 3, automatic: true}, false},
+		"3 replicas, joint config left by outgoing":    {modelBounds{replicas: 3, spares: 1, learners: true, concurrentLosses: 1, terms: 2, configs: 1, totalLosses: 1, automatic: true, leaveAsOutgoing: true}, true},
+		"3 replicas, joint config left too early":      {modelBounds{replicas: 3, spares: 1, learners: true, concurrentLosses: 1, terms: 3, data: 1, configs: 2, totalLosses: 1, automatic: true, leaveEarly: true}, true},
 		"a VM keeps its incarnation":                   {modelBounds{replicas: 3, concurrentLosses: 1, terms: 2, data: 1, totalLosses: 1, keepIncarnation: true}, true},
 	}
 	for name, c := range tests {
--- a/pkg/replica/replace_test.go
+++ b/pkg/replica/replace_test.go
@@ -629,6 +629,47 @@
 	}
 }
 
+// loseSuccessors loses VMs in as many slots as the log tolerates, and their successors,
+// each at any moment after its start, until a number of VMs have been replaced. The others
+// run all the while. It then checks as faults does.
+func (r *replacement) loseSuccessors(replacements int) {
+	weak := r.order()[:r.tolerance]
+	for r.replaced < replacements && !r.t.Failed() {
+		r.run(r.random([]time.Duration{200 * time.Millisecond, time.Second, 3 * time.Second}[r.rng.IntN(3)]))
+		s := weak[r.rng.IntN(len(weak))]
+		switch l := r.leader(); {
+		case s.down:
+			continue
+		case l == nil || l.id == s.id:
+			r.disrupted = r.now
+		}
+		if r.rng.IntN(5) == 0 {
+			r.loseDisk(s)
+		} else {
+			r.replace(s)
+		}
+	}
+	r.faults(0)
+}
+
+// Guards against a log without a leader, or without acknowledged entries, after successors
+// of lost VMs have been lost as well, at any moment of their admission, and leaders with
+// them. The bounds are those of TestReplacements, without its second precondition.
+func TestSuccessorsLost(t *testing.T) {
+	for _, d := range deployments {
+		t.Run(d.String(), func(t *testing.T) {
+			for seed := range seeds(6) {
+				r := newReplacement(t, seed, d)
+				r.loseSuccessors(15)
+				if t.Failed() {
+					return
+				}
+				t.Logf("seed %d: %v", seed, r)
+			}
+		})
+	}
+}
+
 // Guards against an effect of replacements that grows with their number. The bound is the
 // one of TestReplacements.
 func TestHundredReplacements(t *testing.T) {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -379,6 +379,8 @@
 				// newcomer, each quorum needs it until a silent voter is removed.
 				r.manageMembers()
 			}
+		}
+		if r.role == roleLeader {
 			r.broadcast()
 		}
 		r.apply()
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -293,7 +293,7 @@
 func voters(vms []fleet.VMID) []Member {
 	var members []Member
 	for _, vm := range vms {
-		members = append(members, Member{Identity{vm, 1}, true})
+		members = append(members, Member{Identity: Identity{vm, 1}, Voter: true})
 	}
 	return members
 }
@@ -431,7 +431,7 @@
 		f.Fatal(err)
 	}
 	f.Add(d.live[w.name].data)
-	snap, err := encodeSnapshot(&snapshot{snapshotMeta: snapshotMeta{Config: Config{Members: []Member{{id, true}}}}, state: []byte("s")})
+	snap, err := encodeSnapshot(&snapshot{snapshotMeta: snapshotMeta{Config: Config{Members: []Member{{Identity: id, Voter: true}}}}, state: []byte("s")})
 	if err != nil {
 		f.Fatal(err)
 	}
