replica: the voter that has been silent for the longest time is removed first

What callers would see: no leader after a cut between the control VMs has healed.

Cause: a leader that was cut off from some voters, while others were gone, removed the first silent voter in the order of the config, which may be one that is only cut off. The removal can't be committed without the voters behind the cut, and by its config the votes of those that run are no quorum.

TestLongestSilentVoterIsRemoved failed before: "c1 is gone: got b1 removed".

Why it works: a voter that is gone has been silent for longer than one that was cut off after it. By a config without it, the voters that run have a quorum.

--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -444,8 +445,9 @@
 	return inTime
 }
 
-// removableMember returns a removable member, a voter if one is, or "" if there is none. A
-// member is removable after a silence of RemoveAfter, and a voter already after ElectionTimeout if
+// removableMember returns a removable member, or "" if there is none: the voter that has
+// been silent for the longest time, or a learner. Others may only be cut off, and are
+// needed for the commit of the removal. A member is removable after a silence of RemoveAfter, and a voter already after ElectionTimeout if
 // the loss of one more voter would stop the log, or that of Tolerance more although
 // successors have become voters.
 //
@@ -467,18 +469,22 @@
 	if spare := r.spareVoters(); spare < 1 || spare < r.opts.Tolerance && r.activeVoters() > needed {
 		voterLimit = min(voterLimit, r.opts.ElectionTimeout)
 	}
-	learner := fleet.VMID("")
+	voter, learner := fleet.VMID(""), fleet.VMID("")
+	longest := time.Duration(0)
 	for _, m := range c.Members {
 		p := r.progressOf(m.Identity)
+		if m.Identity == r.self || p == nil {
+			continue
+		}
+		silence := r.electionClock - p.lastContact
 		switch {
-		case m.Identity == r.self || p == nil:
-		case m.Voter && !keepVoters && r.electionClock-p.lastContact >= voterLimit:
-			return m.VM
-		case !m.Voter && r.electionClock-p.lastContact >= r.opts.RemoveAfter:
+		case m.Voter && !keepVoters && silence >= max(voterLimit, longest):
+			voter, longest = m.VM, silence
+		case !m.Voter && silence >= r.opts.RemoveAfter:
 			learner = m.VM
 		}
 	}
-	return learner
+	return cmp.Or(voter, learner)
 }
 
 // spareVoters returns the number of voters that may still be lost before no quorum of
--- a/pkg/replica/members_test.go
+++ b/pkg/replica/members_test.go
@@ -566,6 +566,38 @@
 	}
 }
 
+// Guards against the removal of a voter that is only cut off instead of one that is gone:
+// if the removal is not committed, the others need the vote of each voter that runs.
+func TestLongestSilentVoterIsRemoved(t *testing.T) {
+	for _, gone := range sixVMs {
+		c := newMemberCluster(t, Options{RemoveAfter: 3 * time.Second, Tolerance: 2}, sixVMs...)
+		l := c.leader()
+		if gone == l.self.VM {
+			continue
+		}
+		c.lose(gone)
+		c.run(700 * time.Millisecond)
+		for _, vm := range without(c.followers(sixVMs...), gone)[:2] {
+			c.cut[vm] = true
+			c.run(150 * time.Millisecond)
+		}
+		for end := c.now.Add(3 * time.Second); l.role == roleLeader && c.now.Before(end); {
+			c.run(c.interval)
+		}
+		clear(c.cut)
+		for _, e := range eventsOf[MemberChanged](c, l.self.VM) {
+			if e.Kind == MemberRemoved && e.Member.VM != gone {
+				t.Errorf("%s is gone: got %s removed", gone, e.Member.VM)
+			}
+		}
+		c.run(5 * time.Second)
+		if c.leader() == nil {
+			t.Fatalf("%s is gone: got no leader after the cut", gone)
+		}
+		c.propose()
+	}
+}
+
 // Guards against a VM that has lost its disk and waits, after an election, until the
 // leader no longer takes its former incarnation for active: it then counts as lost for
 // longer than the time to catch up.
