registry: a target that announces itself stays in use, whoever names its address

Cause: one message counted as a proof. A target with a later start at an address ended the one there at once. An announcement for an unknown service was refused only in the place of a target whose service the newest catalog has. A record by which a target is gone won over all announcements of the same process.

Why it works: of the targets at an address, the one that is silent is replaced, after another has announced itself twice since; one of a service that does not exist replaces nothing. Entry VMs already tell targets at an address apart by the identity in front of each packet. An end that was inferred is refuted by the next announcement of the process, and a hub that hears a target does not take its end from another one. Records have an era and a revision for this, so that all hubs still agree (TestConvergence).

--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -21,6 +21,9 @@
 	// restored holds the targets of an earlier run that no hub has heard yet.
 	restored restoredTargets
 	catalog  catalog.History
+	// served contains the services of the catalog, and those of earlier ones that still
+	// have targets.
+	served map[fleet.ServiceID]bool
 	// current and complete are the values of Update.Current and Update.Complete.
 	// leaderKnown is set while this hub knows the leader of a majority of the hubs.
 	current, leaderKnown bool
@@ -85,6 +88,7 @@
 		zones:         map[fleet.VMID]fleet.ZoneID{self.VM: self.Zone},
 		targets:       targets,
 		restored:      newRestoredTargets(now.Add(targets.SilenceLimit), now),
+		served:        make(map[fleet.ServiceID]bool),
 		fullFrom:      make(map[fleet.VMID]bool),
 		completeAt:    now.Add(targets.SilenceLimit),
 		settledAt:     now.Add(targets.SilenceLimit),
@@ -106,6 +110,7 @@
 		unheld:        make(map[fleet.Incarnation]time.Time),
 	}
 	targets.LimitsCold = func(id fleet.ServiceID) bool { return s.coldBudget(id) > 0 }
+	targets.Known = func(id fleet.ServiceID) bool { return hasService(s.catalog.Newest(), id) }
 	return s
 }
 
@@ -125,6 +130,7 @@
 
 func (s *Store) setCatalogLocked(c *catalog.Catalog) {
 	if s.catalog.Add(c) {
+		s.updateServed(c)
 		s.notify()
 	}
 }
--- a/pkg/registry/record.go
+++ b/pkg/registry/record.go
@@ -57,6 +57,13 @@
 		// ZoneRevision is the revision of the last restore of the target's zone that
 		// was in force at the VM that received the announcement, 0 if there was none.
 		ZoneRevision catalog.ZoneRevision `cbor:"8,keyasint,omitempty"`
+		// Left is set if the target is gone because its process has said so. Otherwise
+		// its end was inferred, and an announcement of the process refutes it.
+		Left bool `cbor:"9,keyasint,omitempty"`
+		// Revision counts the ends of the process that its announcements have refuted, and
+		// Era the later starts of the target that announcements of the process have.
+		Revision uint32 `cbor:"10,keyasint,omitempty"`
+		Era      uint32 `cbor:"11,keyasint,omitempty"`
 	}
 )
 
@@ -87,8 +94,13 @@
 
 // NewerThan reports whether r is newer than o, a record of the same target.
 func (r *Record) NewerThan(o *Record) bool {
-	if r.Born != o.Born {
+	switch {
+	case r.Era != o.Era:
+		return r.Era > o.Era
+	case r.Born != o.Born:
 		return r.Born > o.Born
+	case r.Revision != o.Revision:
+		return r.Revision > o.Revision
 	}
 	if o.Gone() || r.Gone() {
 		return r.Gone() && !o.Gone()
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -2,7 +2,9 @@
 
 import (
 	"container/list"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"bamboowalk.org/bamboowalk/pkg/fleet"
@@ -23,6 +25,14 @@
 	// network: without this limit, a report that is passed on in a circle would
 	// renew the target forever.
 	minRenewal = 100 * time.Millisecond
+	// minEvidence is the minimum time between two announcements that together show that
+	// a process runs. One alone may come from another writer.
+	minEvidence = 500 * time.Millisecond
+	// lateLimit is the time after which calls of a process that has ended no longer
+	// arrive. Announcements of a process for so long, while one with a later start is
+	// silent, show that the later start is not true. It exceeds the partitions that are
+	// usual, and is a part of GoneRetention.
+	lateLimit = 30 * time.Second
 )
 
 // Causes of a change.
@@ -32,11 +42,12 @@
 	CauseState     Cause = "State"     // the target announced another state
 	CauseHeard     Cause = "Heard"     // a silent target sent an announcement, or a property other than the state changed
 	CauseSilent    Cause = "Silent"    // the target exceeded the silence limit
-	CauseReplaced  Cause = "Replaced"  // another target has taken over the address
-	CauseLeft      Cause = "Left"      // the target announced that it has stopped
+	CauseReplaced  Cause = "Replaced"  // the target is silent, and another one announces itself at its address
+	CauseLeft      Cause = "Left"      // the target announced that it has stopped, or is silent after such a call
 	CauseEnded     Cause = "Ended"     // a draining target has been silent for GoneRetention
 	CauseGone      Cause = "Gone"      // another VM reported that the target is gone
 	CauseHolders   Cause = "Holders"   // the holders of a cold target were chosen
+	CauseReturned  Cause = "Returned"  // a target announced itself that counted as gone, or as restarted
 )
 
 type (
@@ -45,8 +56,13 @@
 
 	// Registry is one VM's list of targets. It is not safe for concurrent use.
 	//
-	// Invariants: byAddress[a] is the entry with address a whose record is not
-	// Gone; at most one such entry exists per address. changes holds all entries in
+	// A target that announces itself is never gone for long, whatever others have said
+	// about its id or its address: each end that was only inferred is refuted by the next
+	// announcement of the process.
+	//
+	// Invariants: byAddress[a] contains the entries with address a whose records are not
+	// Gone: usually one, and more until it is known which of the targets run. live is
+	// their number at all addresses. changes holds all entries in
 	// the order of changeVersion, and heard those that were heard, in the order of
 	// heardVersion, so that the cost of Changes and Heard depends on the number of
 	// returned targets only.
@@ -59,9 +75,13 @@
 		// LimitsCold, if not nil, reports whether the cold targets of a service have
 		// a budget. A longer warm-up of such a target is a change.
 		LimitsCold func(fleet.ServiceID) bool
+		// Known, if not nil, reports whether a service exists. A target of another one
+		// replaces no target at its address.
+		Known func(fleet.ServiceID) bool
 
 		entries   map[fleet.Incarnation]*entry
-		byAddress map[netip.AddrPort]*entry
+		byAddress map[netip.AddrPort][]*entry
+		live      int
 		version   Version
 		changes   list.List
 		// heardVersion counts the announcements that only renew a target.
@@ -74,8 +94,13 @@
 		record Record
 		// lastHeard is the time of the target's last announcement to any VM.
 		lastHeard time.Time
-		warmAt    time.Time
-		endedAt   time.Time
+		// heardBefore is the time of an announcement of the same process at least
+		// minEvidence before lastHeard, or zero if there was none.
+		heardBefore time.Time
+		// rival describes the announcements of a process with an earlier start.
+		rival   rival
+		warmAt  time.Time
+		endedAt time.Time
 		// leaveAt is the time of a Leave without Born, which ends the target unless it
 		// announces itself after that time.
 		leaveAt time.Time
@@ -92,12 +117,20 @@
 	}
 )
 
+// rival describes the announcements of a process of a target whose start is earlier than
+// the known one: the first of them, and the newest sequence number.
+type rival struct {
+	born     int64
+	since    time.Time
+	sequence Sequence
+}
+
 // New returns an empty registry.
 func New(silenceLimit time.Duration, now time.Time) *Registry {
 	return &Registry{
 		SilenceLimit: silenceLimit,
 		entries:      make(map[fleet.Incarnation]*entry),
-		byAddress:    make(map[netip.AddrPort]*entry),
+		byAddress:    make(map[netip.AddrPort][]*entry),
 		lastTick:     now,
 	}
 }
@@ -110,7 +143,7 @@
 func (r *Registry) HeardVersion() Version { return r.heardVersion }
 
 // Len returns the number of targets that are not gone.
-func (r *Registry) Len() int { return len(r.byAddress) }
+func (r *Registry) Len() int { return r.live }
 
 // StateSilent is the state of silent targets in the results of States and
 // Record.State. Targets never announce it.
@@ -126,14 +159,29 @@
 	return e.record, true
 }
 
-// At returns the record of the target at an address that is not gone, and whether there
-// is one. Age and Warmup of the record are those at its arrival.
-func (r *Registry) At(address netip.AddrPort) (Record, bool) {
-	e := r.byAddress[address]
-	if e == nil {
-		return Record{}, false
+// At returns the records of the targets at an address that are not gone. Age and Warmup of
+// the records are those at their arrival.
+func (r *Registry) At(address netip.AddrPort) []Record {
+	var records []Record
+	for _, e := range r.byAddress[address] {
+		records = append(records, e.record)
 	}
-	return e.record, true
+	return records
+}
+
+// Confirmed reports whether the known process of a target is not gone and has announced
+// itself more than once. It may be silent.
+func (r *Registry) Confirmed(id fleet.Incarnation) bool {
+	e := r.entries[id]
+	return e != nil && !e.record.Gone() && !e.heardBefore.IsZero()
+}
+
+// hear records the time of an announcement.
+func (e *entry) hear(at time.Time) {
+	if at.Sub(e.lastHeard) >= minEvidence {
+		e.heardBefore = e.lastHeard
+	}
+	e.lastHeard = at
 }
 
 // LastHeard returns the time of the last announcement of a target to any VM, or zero
@@ -162,11 +210,24 @@
 	return ids
 }
 
+// Services returns the services of the targets that are not gone.
+func (r *Registry) Services() []fleet.ServiceID {
+	ids := make(map[fleet.ServiceID]bool)
+	for _, entries := range r.byAddress {
+		for _, e := range entries {
+			ids[e.record.Target.ID.Service] = true
+		}
+	}
+	return slices.Collect(maps.Keys(ids))
+}
+
 // LiveByZone returns the number of targets that are not gone by zone.
 func (r *Registry) LiveByZone() map[fleet.ZoneID]int {
 	n := make(map[fleet.ZoneID]int)
-	for _, e := range r.byAddress {
-		n[e.record.Target.Zone]++
+	for _, entries := range r.byAddress {
+		for _, e := range entries {
+			n[e.record.Target.Zone]++
+		}
 	}
 	return n
 }
@@ -182,14 +243,54 @@
 }
 
 // Merge adds a record from an announcement to this VM, and reports whether the record was added. A record that is not newer than the known
-// record of the target is not added. Neither is the record of an unknown target
+// record of the target is not added, unless it refutes that. Neither is the record of an unknown target
 // that has been gone for longer than GoneRetention. Merge returns a
 // fleet.FieldError for an invalid record.
 func (r *Registry) Merge(rec Record, now time.Time) (bool, error) {
+	if e := r.entries[rec.Target.ID.Incarnation]; e != nil {
+		refuted := r.refutes(e, &rec, now)
+		rec.Era = e.record.Era
+		switch {
+		case rec.Born != e.record.Born && refuted:
+			rec.Era++
+		case rec.Born == e.record.Born:
+			rec.Revision = e.record.Revision
+			if refuted {
+				rec.Revision++
+			}
+		}
+	}
 	return r.MergeFrom("", rec, now)
 }
 
-// MergeFrom is Merge for a record from another VM, source.
+// refutes reports whether an announcement shows that the known record of its target is
+// wrong: that a process is not gone, or that one with an earlier start runs although a
+// later one was announced. For the latter it takes announcements for lateLimit, in which
+// the later process is silent: they may be late ones of a process that has ended. One
+// announcement for a service that does not exist counts for nothing.
+func (r *Registry) refutes(e *entry, rec *Record, now time.Time) bool {
+	known := &e.record
+	switch {
+	case rec.Gone() || rec.Born > known.Born:
+		return false
+	case rec.Born == known.Born:
+		return known.Gone() && !known.Left && rec.Sequence > known.Sequence
+	case r.Known != nil && !r.Known(known.Target.ID.Service) && e.heardBefore.IsZero() && known.Target.ID.Service != rec.Target.ID.Service:
+		return true
+	case now.Sub(e.lastHeard) <= r.SilenceLimit:
+		return false
+	case e.rival.born != rec.Born || e.rival.since.Before(e.lastHeard):
+		e.rival = rival{born: rec.Born, since: now, sequence: rec.Sequence}
+		return false
+	}
+	newer := rec.Sequence > e.rival.sequence
+	e.rival.sequence = max(e.rival.sequence, rec.Sequence)
+	return newer && now.Sub(e.rival.since) >= lateLimit
+}
+
+// MergeFrom is Merge for a record from another VM, source, which refutes nothing. The known
+// record of a target that is not silent here becomes the newer one if the other VM could
+// not hear that target, or has heard another writer.
 func (r *Registry) MergeFrom(source fleet.VMID, rec Record, now time.Time) (bool, error) {
 	e, err := r.merge(rec, now)
 	if e == nil || err != nil {
@@ -217,6 +318,15 @@
 		r.adoptHolders(e, &rec, now)
 		return nil, nil
 	}
+	if e != nil && r.contradicts(e, &rec, now) {
+		if rec.Born == e.record.Born {
+			e.record.Revision = rec.Revision + 1
+		} else {
+			e.record.Era = rec.Era + 1
+		}
+		r.recordChange(e, CauseReturned)
+		return nil, nil
+	}
 	if rec.Warmup == 0 {
 		rec.Holders = nil
 	} else if e != nil && e.inWarmupOf(&rec, now) {
@@ -231,7 +341,9 @@
 		r.entries[rec.Target.ID.Incarnation] = e
 	} else {
 		cause = e.changeCause(&rec)
-		r.releaseAddress(e)
+		if rec.Gone() || rec.Target.ID.Address != e.record.Target.ID.Address {
+			r.releaseAddress(e)
+		}
 	}
 	if e.record.Born == rec.Born {
 		rec.ZoneRevision = max(rec.ZoneRevision, e.record.ZoneRevision)
@@ -240,7 +352,12 @@
 	if e.record.Born == rec.Born && !rec.Gone() && e.lastHeard.After(lastHeard) {
 		lastHeard = e.lastHeard
 	}
-	e.record, e.lastHeard = rec, lastHeard
+	if e.lastHeard.IsZero() || e.record.Born != rec.Born {
+		// What was heard of, and said by, another process.
+		e.lastHeard, e.heardBefore, e.leaveAt, e.rival = lastHeard, time.Time{}, time.Time{}, rival{}
+	}
+	e.hear(lastHeard)
+	e.record = rec
 	e.warmAt = now.Add(rec.Warmup)
 	e.record.Silent = !rec.Gone() && now.Sub(lastHeard) > r.SilenceLimit
 	if changed {
@@ -250,6 +367,20 @@
 	return e, nil
 }
 
+// contradicts reports whether rec, from another VM, says that the known process of a
+// target is gone, which has not said so itself, or has restarted for a service that does
+// not exist, although that process is not silent here.
+func (r *Registry) contradicts(e *entry, rec *Record, now time.Time) bool {
+	if e.record.Gone() || now.Sub(e.lastHeard) > r.SilenceLimit {
+		return false
+	}
+	if rec.Born == e.record.Born {
+		return rec.Gone() && !rec.Left
+	}
+	id := rec.Target.ID.Service
+	return rec.Born > e.record.Born && id != e.record.Target.ID.Service && r.Known != nil && !r.Known(id)
+}
+
 // Renew records that another VM, source, has heard a target that this registry
 // knows, and reports whether that was news.
 func (r *Registry) Renew(h Heard, source fleet.VMID, now time.Time) bool {
@@ -261,7 +392,7 @@
 	if lastHeard.Sub(e.lastHeard) < minRenewal {
 		return false
 	}
-	e.lastHeard = lastHeard
+	e.hear(lastHeard)
 	r.recordHeard(e, source)
 	if e.record.Silent && now.Sub(lastHeard) <= r.SilenceLimit {
 		e.record.Silent = false
@@ -274,6 +405,8 @@
 // same target, makes to the entry.
 func (e *entry) changeCause(rec *Record) Cause {
 	switch {
+	case rec.Era > e.record.Era, e.record.Gone() && rec.Born == e.record.Born:
+		return CauseReturned
 	case rec.Born != e.record.Born:
 		return CauseRestarted
 	case rec.Gone():
@@ -285,8 +418,15 @@
 }
 
 func (r *Registry) releaseAddress(e *entry) {
-	if r.byAddress[e.record.Target.ID.Address] == e {
-		delete(r.byAddress, e.record.Target.ID.Address)
+	address := e.record.Target.ID.Address
+	i := slices.Index(r.byAddress[address], e)
+	if i < 0 {
+		return
+	}
+	r.live--
+	r.byAddress[address] = slices.Delete(r.byAddress[address], i, i+1)
+	if len(r.byAddress[address]) == 0 {
+		delete(r.byAddress, address)
 	}
 }
 
@@ -297,27 +437,47 @@
 		!e.record.Silent && e.changeVersion > 0
 }
 
-// claimAddress makes an entry that is not gone the owner of its address. If two
-// targets have the same address, the target that started earlier is marked as
-// gone.
+// claimAddress adds an entry that is not gone to its address, and marks entries there as
+// gone that have been replaced.
 func (r *Registry) claimAddress(e *entry, now time.Time) {
-	address := e.record.Target.ID.Address
 	if e.record.Gone() {
 		if e.endedAt.IsZero() {
 			e.endedAt = now
 		}
 		return
 	}
-	other := r.byAddress[address]
-	if other != nil && other.record.Born > e.record.Born {
-		r.markGone(e, CauseReplaced, now)
+	address := e.record.Target.ID.Address
+	e.endedAt = time.Time{}
+	if !slices.Contains(r.byAddress[address], e) {
+		r.byAddress[address] = append(r.byAddress[address], e)
+		r.live++
+	}
+	if len(r.byAddress[address]) == 1 {
 		return
 	}
-	if other != nil {
-		r.markGone(other, CauseReplaced, now)
+	for _, other := range slices.Clone(r.byAddress[address]) {
+		if r.replaced(other, now) {
+			r.markGone(other, CauseReplaced, now)
+		}
 	}
-	e.endedAt = time.Time{}
-	r.byAddress[address] = e
+}
+
+// replaced reports whether a target has been silent for longer than SilenceLimit, and
+// another one has announced itself since at its address, at least twice: one announcement
+// may be that of another writer. If the other one started earlier, its announcements may
+// be late ones, unless they arrive for longer than lateLimit. The entry VMs tell the
+// targets at an address apart by their incarnations.
+func (r *Registry) replaced(e *entry, now time.Time) bool {
+	if now.Sub(e.lastHeard) <= r.SilenceLimit {
+		return false
+	}
+	return slices.ContainsFunc(r.byAddress[e.record.Target.ID.Address], func(o *entry) bool {
+		since := e.lastHeard
+		if o.record.Born < e.record.Born {
+			since = since.Add(lateLimit)
+		}
+		return o != e && o.heardBefore.After(since) && (r.Known == nil || r.Known(o.record.Target.ID.Service))
+	})
 }
 
 func (r *Registry) markGone(e *entry, c Cause, now time.Time) {
@@ -377,7 +537,7 @@
 		e.leaveAt = now
 		return false
 	}
-	e.record.Born = l.Born
+	e.record.Born, e.record.Left = l.Born, true
 	r.markGone(e, CauseLeft, now)
 	return true
 }
@@ -403,6 +563,9 @@
 	for id, e := range r.entries {
 		if gap > maxTickGap {
 			e.lastHeard = e.lastHeard.Add(gap)
+			if !e.heardBefore.IsZero() {
+				e.heardBefore = e.heardBefore.Add(gap)
+			}
 			if !e.leaveAt.IsZero() {
 				e.leaveAt = e.leaveAt.Add(gap)
 			}
@@ -413,6 +576,8 @@
 			r.remove(id, e)
 		case cause != "":
 			r.markGone(e, cause, now)
+		case !e.record.Gone() && r.replaced(e, now):
+			r.markGone(e, CauseReplaced, now)
 		case !e.record.Gone() && !e.record.Silent && now.Sub(e.lastHeard) > r.SilenceLimit:
 			e.record.Silent = true
 			r.recordChange(e, CauseSilent)
