registry: a late call to leave ends no process that runs

What callers saw: a target started again under its id, and its former process's call to leave waited at a frozen hub.

Cause: a call to leave that does not tell its process was kept over a restart, and silence after it was the end of whatever process was known.

On the former registry the cases "late leave, then cut off" and "leave of the process before a restart that is not known yet" of TestRefutedEnds fail ("got Gone, want Silent").

Besides, a hub refuses calls of targets for 1 s after a suspension, when those that have waited arrive, and their callers have gone to other hubs.

--- a/internal/feed/restored.go
+++ b/internal/feed/restored.go
@@ -12,6 +12,10 @@
 // is assumed to have been suspended. Announcements could not arrive in such a gap.
 const maxTickGap = time.Second
 
+// catchUpTime is the time after a suspension of this process in which calls of targets are
+// refused: those that have waited arrive first.
+const catchUpTime = time.Second
+
 // restoredTargets holds the targets that an earlier run of this process has saved
 // and that no hub has heard since the start. They are published to entry VMs only:
 // other hubs may have forgotten that such a target has left, and would take it for
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -39,8 +39,9 @@
 	hubs      []Hub
 	// zones holds the zone of this hub and of each hub that has sent a Hello.
 	zones map[fleet.VMID]fleet.ZoneID
-	// lastRun is the time at which this process was last known to run.
-	lastRun time.Time
+	// lastRun is the time at which this process was last known to run, and catchUpUntil
+	// the time until which CatchingUp is true.
+	lastRun, catchUpUntil time.Time
 	// completeAt is the time from which complete is set. It is one silence limit
 	// after the start, so that every live target has had time to announce itself,
 	// or earlier if another hub has sent its full and complete state.
@@ -193,12 +194,22 @@
 		return
 	}
 	clear(s.fullFrom)
+	s.catchUpUntil = now.Add(catchUpTime)
 	s.settled, s.complete = false, false
 	s.settledAt, s.completeAt = now.Add(s.targets.SilenceLimit), now.Add(s.targets.SilenceLimit)
 	s.updateCurrent()
 	s.notify()
 }
 
+// CatchingUp reports whether this process has just been suspended. Calls of targets may
+// have waited meanwhile, and this hub does not know yet what the others have heard.
+func (s *Store) CatchingUp(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noticeSuspension(now)
+	return now.Before(s.catchUpUntil)
+}
+
 // HubOf returns a hub in a zone to which the target id should announce itself: this
 // hub or one whose feed this hub receives. The targets of a zone are distributed
 // over the hubs of the zone. HubOf returns "" if the zone has no such hub.
--- a/internal/hub/calls.go
+++ b/internal/hub/calls.go
@@ -20,9 +20,14 @@
 // no hub that their zone's entry VMs follow. If the target is draining, Announce
 // waits until a majority of the hubs has acknowledged the record, and returns an
 // UnavailableError if that takes more than confirmTimeout. It returns a
-// fleet.FieldError for an invalid record.
+// fleet.FieldError for an invalid record, and an UnavailableError just after a suspension
+// of this hub: the call may have waited meanwhile.
 func (d *Daemon) Announce(ctx context.Context, rec registry.Record) (fleet.VMID, error) {
-	v, err := d.store.Merge(rec, time.Now())
+	now := time.Now()
+	if d.store.CatchingUp(now) {
+		return "", &UnavailableError{Err: catchingUpError{}}
+	}
+	v, err := d.store.Merge(rec, now)
 	if err != nil {
 		return "", err
 	}
@@ -38,9 +43,13 @@
 
 // Leave records that a target has announced its end, as registry.Registry.Leave does. It
 // waits for a majority of the hubs as Announce does, and returns the same
-// UnavailableError.
+// UnavailableErrors.
 func (d *Daemon) Leave(ctx context.Context, l registry.Leave) error {
-	return d.confirm(ctx, l.Target, d.store.Leave(l, time.Now()))
+	now := time.Now()
+	if d.store.CatchingUp(now) {
+		return &UnavailableError{Err: catchingUpError{}}
+	}
+	return d.confirm(ctx, l.Target, d.store.Leave(l, now))
 }
 
 func (d *Daemon) confirm(ctx context.Context, id fleet.Incarnation, v registry.Version) error {
--- a/internal/hub/daemon.go
+++ b/internal/hub/daemon.go
@@ -160,6 +160,9 @@
 	// replicaDownError reports that this hub's replica is not running, for example
 	// after a disk failure.
 	replicaDownError struct{}
+
+	// catchingUpError reports that this hub has just been suspended.
+	catchingUpError struct{}
 )
 
 // Error returns the leader, if known.
@@ -185,6 +188,9 @@
 // Error says that the replica is down.
 func (replicaDownError) Error() string { return "the replica of this hub is down" }
 
+// Error says that the hub was suspended.
+func (catchingUpError) Error() string { return "this hub was suspended and is catching up" }
+
 // SetSeeds replaces the configured addresses of hubs. It is safe for concurrent
 // use.
 func (d *Daemon) SetSeeds(seeds []netip.AddrPort) { d.seeds.Store(&seeds) }
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -101,8 +101,8 @@
 		rival   rival
 		warmAt  time.Time
 		endedAt time.Time
-		// leaveAt is the time of a Leave without Born, which ends the target unless it
-		// announces itself after that time.
+		// leaveAt is the time of a Leave without Born, which ends the target if it drains,
+		// unless it announces itself after that time.
 		leaveAt time.Time
 		// changeVersion is the version of the last change of record, and change the
 		// entry's element of Registry.changes.
@@ -527,7 +527,8 @@
 // Leave marks a target that has announced its end as gone, and reports whether it has
 // done so. A Leave of an earlier process than the one that is known has no effect. If the
 // Leave does not tell the process, the target is gone once it is silent and has not been
-// heard since.
+// heard since, if it drains: others don't leave, so that the call is a late one of an
+// earlier process.
 func (r *Registry) Leave(l Leave, now time.Time) bool {
 	e := r.entries[l.Target]
 	switch {
@@ -547,7 +548,7 @@
 func (e *entry) endCause(silence time.Duration, silenceLimit time.Duration) Cause {
 	switch {
 	case e.record.Gone() || silence <= silenceLimit:
-	case !e.leaveAt.IsZero() && !e.lastHeard.After(e.leaveAt):
+	case e.record.Target.State == fleet.TargetDraining && !e.leaveAt.IsZero() && !e.lastHeard.After(e.leaveAt):
 		return CauseLeft
 	case e.record.Target.State == fleet.TargetDraining && silence > GoneRetention:
 		return CauseEnded
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -216,6 +216,14 @@
 		name  string
 		steps []step
 	}{
+		{"late leave, then cut off", []step{
+			{do: merge(20, 1, ready), want: want{1: ready}}, {after: interval, do: leave(0), want: want{1: ready}},
+			{after: 2 * silenceLimit, do: nothing, want: want{1: StateSilent}}, {do: merge(20, 2, ready), want: want{1: ready}},
+		}},
+		{"leave of the process before a restart that is not known yet", []step{
+			{do: merge(10, 5, draining), want: want{1: draining}}, {after: interval, do: leave(0), want: want{1: draining}},
+			{do: merge(20, 1, ready), want: want{1: ready}}, {do: merge(20, 2, draining), want: want{1: draining}}, {after: 2 * silenceLimit, do: nothing, want: want{1: StateSilent}},
+		}},
 		{"late leave, then cut off while it drains", []step{
 			{do: merge(20, 1, draining), want: want{1: draining}}, {do: leave(0), want: want{1: draining}}, {after: 2 * silenceLimit, do: nothing, want: want{1: gone}},
 			{do: merge(20, 2, draining), want: want{1: draining}},
