steering: a packet that waited during a suspension is not refused either

What callers would see: a reset of an open flow by an entry VM that was suspended and takes no new flows for lack of a confirmed view, or does not know the route.

Cause: decided about packets that have waited only after these refusals.

Evidence: TestWaitedOpeningPacketIsNotRefused failed before: "got Unconfirmed, want Suspended".

Why it works: whether a copy may have opened the flow elsewhere is asked first.

--- a/pkg/steering/core.go
+++ b/pkg/steering/core.go
@@ -368,6 +368,11 @@
 
 // decideOpening returns the decision for an opening packet.
 func (c *Core) decideOpening(p *Packet, data []byte, now time.Time) Decision {
+	if p.Waited > 0 {
+		if d, decided := c.decideWaited(p); decided {
+			return d
+		}
+	}
 	if c.refuses(now) {
 		if d, refused := c.refuseUnconfirmed(p); refused {
 			return d
@@ -391,11 +396,6 @@
 			return Decision{Op: Forward, Cause: CauseFlow, Target: t}
 		}
 	}
-	if p.Waited > 0 {
-		if d, decided := c.decideWaited(p); decided {
-			return d
-		}
-	}
 	isNew := f == nil || f.ended
 	if !isNew && c.repeatsEarly(f, now) {
 		t := c.view.targets[f.target]
--- a/pkg/steering/suspension_test.go
+++ b/pkg/steering/suspension_test.go
@@ -108,6 +108,20 @@
 	}
 }
 
+// Guards against a reset of a flow that a copy has opened elsewhere, by a VM that was
+// suspended and refuses new flows, or does not know the route.
+func TestWaitedOpeningPacketIsNotRefused(t *testing.T) {
+	s := newHarness(t, target(1, "counter", "z0"))
+	s.core.RefuseFrom(s.now)
+	s.core.Resume(s.now)
+	s.core.Updated(s.now.Add(updateDelay))
+	waited := Packet{Flow: flowOf(1), Opening: true, Waited: 300 * time.Millisecond}
+	s.expect(&waited, Drop, CauseSuspended)
+	waited.Flow.Route = netip.MustParseAddrPort("198.18.0.9:1")
+	s.expect(&waited, Drop, CauseSuspended)
+	s.expect(&Packet{Flow: flowOf(2), Opening: true}, Reset, CauseUnconfirmed)
+}
+
 // Guards against a copy that waited during a suspension and goes to another target than the
 // packet before it, and against doubts about a target whose answer this VM has not read.
 func TestWaitedCopyKeepsTarget(t *testing.T) {
