--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -84,21 +84,24 @@
 }
 
 // step is a call at a time after the step before, and the states that it leaves, if want
-// is set. The registry ticks in between.
+// is set. The registry ticks in between, unless its VM is suspended.
 type step struct {
-	after time.Duration
-	do    func(r *Registry, now time.Time)
-	want  map[fleet.Incarnation]fleet.TargetState
+	after     time.Duration
+	do        func(r *Registry, now time.Time)
+	want      map[fleet.Incarnation]fleet.TargetState
+	suspended bool
 }
 
 func runSteps(t *testing.T, name string, steps []step) {
 	t.Helper()
 	r, now := New(silenceLimit, start), start
 	for i, s := range steps {
-		for end := now.Add(s.after); now.Before(end); {
+		end := now.Add(s.after)
+		for !s.suspended && now.Before(end) {
 			now = now.Add(min(maxTickGap/4, end.Sub(now)))
 			r.Tick(now)
 		}
+		now = end
 		s.do(r, now)
 		if got := states(r, now); s.want != nil && !reflect.DeepEqual(got, s.want) {
 			t.Errorf("%s, step %d: got %v, want %v", name, i, got, s.want)
@@ -504,12 +507,8 @@
 // which runs now, and against targets that have left and never count as gone.
 func TestLeave(t *testing.T) {
 	const ready, draining, gone = fleet.TargetReady, fleet.TargetDraining, fleet.TargetGone
-	type step struct {
-		after time.Duration // since the step before
-		do    func(r *Registry, now time.Time)
-		want  fleet.TargetState
-		// suspended is set if the VM does not run before the step.
-		suspended bool
+	of := func(s fleet.TargetState) map[fleet.Incarnation]fleet.TargetState {
+		return map[fleet.Incarnation]fleet.TargetState{1: s}
 	}
 	merge := func(born int64, seq Sequence, state fleet.TargetState) func(*Registry, time.Time) {
 		return func(r *Registry, now time.Time) {
@@ -528,52 +527,40 @@
 		name  string
 		steps []step
 	}{
-		{"same process", []step{{do: merge(10, 1, ready), want: ready}, {do: leave(10), want: gone}, {do: merge(10, 2, ready), want: gone}}},
+		{"same process", []step{{do: merge(10, 1, ready), want: of(ready)}, {do: leave(10), want: of(gone)}, {do: merge(10, 2, ready), want: of(gone)}}},
 		{"earlier process", []step{
-			{do: merge(20, 1, ready), want: ready}, {do: leave(10), want: ready}, {after: interval, do: merge(20, 2, ready), want: ready},
+			{do: merge(20, 1, ready), want: of(ready)}, {do: leave(10), want: of(ready)}, {after: interval, do: merge(20, 2, ready), want: of(ready)},
 		}},
 		{"later process than the known one", []step{
-			{do: merge(10, 1, draining), want: draining}, {do: leave(20), want: gone}, {do: merge(10, 2, ready), want: gone},
+			{do: merge(10, 1, draining), want: of(draining)}, {do: leave(20), want: of(gone)}, {do: merge(10, 2, ready), want: of(gone)},
 		}},
 		{"process not told, after a restart", []step{
-			{do: merge(10, 9, draining), want: draining}, {after: interval, do: merge(20, 1, ready), want: ready}, {after: interval, do: leave(0), want: ready},
-			{after: interval, do: merge(20, 2, ready), want: ready}, {after: silenceLimit, do: nothing, want: ready}, {after: interval, do: nothing, want: StateSilent},
+			{do: merge(10, 9, draining), want: of(draining)}, {after: interval, do: merge(20, 1, ready), want: of(ready)}, {after: interval, do: leave(0), want: of(ready)},
+			{after: interval, do: merge(20, 2, ready), want: of(ready)}, {after: silenceLimit, do: nothing, want: of(ready)}, {after: interval, do: nothing, want: of(StateSilent)},
 		}},
 		{"process not told, while the process after it drains", []step{
-			{do: merge(20, 1, draining), want: draining}, {do: leave(0), want: draining}, {after: interval, do: merge(20, 2, draining), want: draining},
-			{after: silenceLimit, do: nothing, want: draining}, {after: interval, do: nothing, want: StateSilent},
+			{do: merge(20, 1, draining), want: of(draining)}, {do: leave(0), want: of(draining)}, {after: interval, do: merge(20, 2, draining), want: of(draining)},
+			{after: silenceLimit, do: nothing, want: of(draining)}, {after: interval, do: nothing, want: of(StateSilent)},
 		}},
 		{"process not told, and heard by another VM", []step{
-			{do: merge(20, 1, ready), want: ready}, {do: leave(0), want: ready}, {after: interval, do: renew, want: ready},
-			{after: silenceLimit, do: nothing, want: ready}, {after: interval, do: nothing, want: StateSilent},
+			{do: merge(20, 1, ready), want: of(ready)}, {do: leave(0), want: of(ready)}, {after: interval, do: renew, want: of(ready)},
+			{after: silenceLimit, do: nothing, want: of(ready)}, {after: interval, do: nothing, want: of(StateSilent)},
 		}},
 		{"process not told, and silent", []step{
-			{do: merge(10, 1, draining), want: draining}, {after: interval, do: leave(0), want: draining},
-			{after: interval, do: nothing, want: draining}, {after: interval, do: nothing, want: gone},
+			{do: merge(10, 1, draining), want: of(draining)}, {after: interval, do: leave(0), want: of(draining)},
+			{after: interval, do: nothing, want: of(draining)}, {after: interval, do: nothing, want: of(gone)},
 		}},
 		{"process not told, at a VM that is suspended", []step{
-			{do: merge(10, 1, draining), want: draining}, {do: leave(0), want: draining}, {after: time.Hour, do: (*Registry).Tick, want: draining, suspended: true},
-			{after: interval, do: merge(10, 2, draining), want: draining}, {after: silenceLimit, do: nothing, want: draining},
+			{do: merge(10, 1, draining), want: of(draining)}, {do: leave(0), want: of(draining)}, {after: time.Hour, do: (*Registry).Tick, want: of(draining), suspended: true},
+			{after: interval, do: merge(10, 2, draining), want: of(draining)}, {after: silenceLimit, do: nothing, want: of(draining)},
 		}},
 		{"draining and silent without a leave", []step{
-			{do: merge(10, 1, draining), want: draining}, {after: GoneRetention, do: nothing, want: StateSilent}, {after: interval, do: nothing, want: gone},
+			{do: merge(10, 1, draining), want: of(draining)}, {after: GoneRetention, do: nothing, want: of(StateSilent)}, {after: interval, do: nothing, want: of(gone)},
 		}},
 		{"ready and silent", []step{
-			{do: merge(10, 1, ready), want: ready}, {after: GoneRetention + interval, do: nothing, want: StateSilent},
+			{do: merge(10, 1, ready), want: of(ready)}, {after: GoneRetention + interval, do: nothing, want: of(StateSilent)},
 		}},
 	} {
-		r, now := New(silenceLimit, start), start
-		for i, s := range test.steps {
-			end := now.Add(s.after)
-			for !s.suspended && now.Before(end) {
-				now = now.Add(maxTickGap / 2)
-				r.Tick(now)
-			}
-			now = end
-			s.do(r, now)
-			if got := states(r, now)[1]; got != s.want {
-				t.Errorf("%s, step %d: got %s, want %s", test.name, i, got, s.want)
-			}
-		}
+		runSteps(t, test.name, test.steps)
 	}
 }
