--- a/internal/feed/claims_test.go
+++ b/internal/feed/claims_test.go
@@ -21,7 +21,7 @@
 	claimSilence  = 3 * time.Second
 	claimDrain    = 4 * time.Second
 	claimReuse    = 2 * time.Second
-	claimSettling = 500 * time.Millisecond // until what a hub has heard is at all hubs
+	claimSettling = 500 * time.Millisecond // until an announcement to one hub has reached all
 )
 
 type (
@@ -49,7 +49,7 @@
 		frozenUntil time.Time
 		// waiting are the calls that arrived while the hub was frozen.
 		waiting []func(s *Store)
-		// told and heard are what each other hub was told.
+		// told and heard are the versions that each other hub has received.
 		told  map[int]registry.Version
 		heard map[int]registry.Version
 	}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -353,7 +353,7 @@
 		lastHeard = e.lastHeard
 	}
 	if e.lastHeard.IsZero() || e.record.Born != rec.Born {
-		// What was heard of, and said by, another process.
+		// These describe the announcements and calls of another process.
 		e.lastHeard, e.heardBefore, e.leaveAt, e.rival = lastHeard, time.Time{}, time.Time{}, rival{}
 	}
 	e.hear(lastHeard)
