--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -14,7 +14,10 @@
 // attempt to open a flow ends.
 var copyTimes = []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
 
-const openTimeout = 1400 * time.Millisecond
+const (
+	openTimeout = 1400 * time.Millisecond
+	noAnswer    = "no answer"
+)
 
 // clients are the clients of one zone, which share an address. The router of the zone
 // forwards their packets to the front machine of the zone.
@@ -173,7 +176,7 @@
 }
 
 // request sends a request on the flow and waits for the answer until the deadline. It
-// returns the answer's status line, or "" if there was none.
+// returns the answer's status line, or noAnswer if there was none.
 func (f *flow) request(method, id string, deadline time.Duration) string {
 	text := fmt.Sprintf("%s / HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", method, f.key.route, id)
 	end := time.Now().Add(deadline)
@@ -203,7 +206,7 @@
 		return status != "" || f.reset
 	})
 	if status == "" {
-		status = "no answer"
+		status = noAnswer
 	}
 	f.c.w.rec.printf("client %v: %s ends with %q", f.key.client, id, status)
 	return status
