--- a/review/standins-3/drain.go
+++ b/review/standins-3/drain.go
@@ -10,9 +10,13 @@
 // crashes, and starts again under its id after the time of day has jumped back. Later it
 // drains.
 const (
-	clockStep  = 2400 * time.Millisecond
-	drainMs    = 4 * time.Second
-	loadPerS   = 70
+	clockStep = 2400 * time.Millisecond
+	drainMs   = 4 * time.Second
+	// drainBackends is the number of backends of the service, of two slots each.
+	drainBackends = 4
+	drainWork     = 40 * time.Millisecond
+	// loadPerS is what 3.3 of them can serve.
+	loadPerS   = 165
 	beforeLoad = 8 * time.Second
 	// serveAfterAck is the time for which the draining backend goes on serving after the
 	// acknowledgement: drainMs and a little longer. It then leaves and exits.
@@ -31,10 +35,14 @@
 	if trouble {
 		step = clockStep
 	}
-	other := w.backendAt(1, 1, "i-0000b001", "svc-a")
-	first := w.backendAt(2, 1, "i-0000b002", "svc-a")
+	first := w.backendAt(1, 1, "i-0000b001", "svc-a")
 	first.born = time.Now().Add(step).UnixMilli()
-	for _, b := range []*backend{other, first} {
+	starts := []*backend{first}
+	for n := 2; n <= drainBackends; n++ {
+		starts = append(starts, w.backendAt(n, 1, fmt.Sprintf("i-0000b00%d", n), "svc-a"))
+	}
+	for _, b := range starts {
+		b.work = drainWork
 		if err := w.startBackend(b); err != nil {
 			return result{err: err}
 		}
@@ -43,7 +51,8 @@
 	first.crash()
 	w.rec.printf("backend %s crashes; the time of day is right again", first.id)
 	time.Sleep(500 * time.Millisecond)
-	target := w.backendAt(2, 1, first.id, "svc-a")
+	target := w.backendAt(1, 1, first.id, "svc-a")
+	target.work = drainWork
 	if err := w.startBackend(target); err != nil {
 		return result{err: err}
 	}
@@ -53,9 +62,6 @@
 	if err := w.awaitReady(); err != nil {
 		return result{err: err}
 	}
-	for _, b := range []*backend{other, target} {
-		b.work = 40 * time.Millisecond
-	}
 	time.Sleep(beforeLoad)
 	c, err := w.newClients(1)
 	if err != nil {
