--- a/review/standins-3/backend.go
+++ b/review/standins-3/backend.go
@@ -186,7 +186,7 @@
 		return
 	}
 	to := netip.AddrPortFrom(key.client.Addr(), uint16(b.w.port+portData))
-	b.conn.WriteToUDPAddrPort(p.encode(), to)
+	b.w.transmit(b.conn, p.encode(), to)
 }
 
 func (b *backend) handle(p *packet) {
--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -133,7 +133,7 @@
 
 func (f *flow) transmit(p *packet) {
 	p.src, p.dst = f.key.client, f.key.route
-	f.c.conn.WriteToUDPAddrPort(p.encode(), f.c.router)
+	f.c.w.transmit(f.c.conn, p.encode(), f.c.router)
 }
 
 func (f *flow) handle(p *packet, from netip.AddrPort) {
--- a/review/standins-3/flow.go
+++ b/review/standins-3/flow.go
@@ -7,15 +7,20 @@
 	"time"
 )
 
-// The case "flow": a client keeps a flow open, with a pause of less than idleTimeoutMs
-// between two requests. The link of a backend loses the first SYN+ACK of each flow, a
-// single datagram, so that two backends take the SYN.
+// The case "flow": clients keep flows open, with a pause of less than idleTimeoutMs
+// between two requests, while others open a flow for each request. The link of a backend
+// loses the first SYN+ACK of one of the long flows, the only datagram that is lost, so that
+// two backends take its SYN.
 const (
-	longFlows  = 4
+	longFlows = 4
+	// shortFlows is the number of clients with a flow for each request.
+	shortFlows = 3
 	flowPause  = 5 * time.Second
-	reorderMs  = 2 * time.Second
-	minForeign = 3
-	unsafeMs   = 3000
+	// clientDelay is that of the site file, client_ms.
+	clientDelay = 3 * time.Millisecond
+	reorderMs   = 2 * time.Second
+	minForeign  = 3
+	unsafeMs    = 3000
 )
 
 func (w *world) config(version int, routes string) string {
@@ -40,20 +45,22 @@
 
 func playFlow(w *world, trouble bool) result {
 	w.contracts = []string{"base", "drain", "config", "cost", "recover", "health", "flows"}
+	w.clientDelay, w.links = clientDelay, make(chan datagram, 1024)
+	go w.runLinks()
 	var mu sync.Mutex
-	lost := make(map[flowKey]bool)
+	losing := false // whether the next SYN+ACK is lost
 	if err := w.start(); err != nil {
 		return result{err: err}
 	}
 	for n := 1; n <= 3; n++ {
 		b := w.backendAt(n, 1, fmt.Sprintf("i-0000a0%02d", n), "svc-a")
 		if trouble {
-			b.loses = func(_ *backend, key flowKey, p *packet) bool {
+			b.loses = func(_ *backend, _ flowKey, p *packet) bool {
 				mu.Lock()
 				defer mu.Unlock()
-				first := p.flags&flagSYN != 0 && !lost[key]
-				lost[key] = true
-				return first
+				lost := losing && p.flags&flagSYN != 0
+				losing = losing && !lost
+				return lost
 			}
 		}
 		if err := w.startBackend(b); err != nil {
@@ -76,7 +83,12 @@
 	keys := make([]flowKey, longFlows)
 	for i := range longFlows {
 		wg.Go(func() {
-			time.Sleep(time.Duration(i) * 150 * time.Millisecond)
+			time.Sleep(time.Duration(i) * 500 * time.Millisecond)
+			if i == 1 {
+				mu.Lock()
+				losing = true
+				mu.Unlock()
+			}
 			f := c.open(w.routeAddr(443))
 			if f == nil {
 				results[i] = fmt.Errorf("flow %d did not open", i)
@@ -92,7 +104,30 @@
 			f.end()
 		})
 	}
+	stop := make(chan struct{})
+	var short sync.WaitGroup
+	for i := range shortFlows {
+		short.Go(func() {
+			// The short flows begin once the long ones are open, so that one of the
+			// latter meets the loss.
+			time.Sleep(longFlows * 500 * time.Millisecond)
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				if f := c.open(w.routeAddr(443)); f != nil {
+					f.request("GET", fmt.Sprintf("short-%d-%d", i, n), unsafeMs*time.Millisecond)
+					f.end()
+				}
+			}
+		})
+	}
 	wg.Wait()
+	close(stop)
+	short.Wait()
+	w.rec.printf("%d datagrams of clients and backends", w.datagrams.Load())
 	res := result{}
 	for i, key := range keys {
 		if results[i] != nil {
--- a/review/standins-3/world.go
+++ b/review/standins-3/world.go
@@ -7,12 +7,14 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -56,6 +58,11 @@
 	contracts []string
 	backends  []*backend
 	client    *http.Client
+	// clientDelay is the delay of the links of clients, one way.
+	clientDelay time.Duration
+	links       chan datagram
+	// datagrams counts those that clients and backends have sent.
+	datagrams atomic.Int64
 
 	mu     sync.Mutex
 	procs  []*exec.Cmd
@@ -286,3 +293,29 @@
 	w.rec.printf("all front machines are ready")
 	return nil
 }
+
+// datagram is one on its way over the link of a client.
+type datagram struct {
+	conn *net.UDPConn
+	data []byte
+	to   netip.AddrPort
+	due  time.Time
+}
+
+// transmit sends a datagram over the link of a client. The links keep their order.
+func (w *world) transmit(conn *net.UDPConn, b []byte, to netip.AddrPort) {
+	w.datagrams.Add(1)
+	if w.clientDelay == 0 {
+		conn.WriteToUDPAddrPort(b, to)
+		return
+	}
+	w.links <- datagram{conn, b, to, time.Now().Add(w.clientDelay)}
+}
+
+// runLinks delivers the datagrams that are on their way.
+func (w *world) runLinks() {
+	for d := range w.links {
+		time.Sleep(time.Until(d.due))
+		d.conn.WriteToUDPAddrPort(d.data, d.to)
+	}
+}
