capacity: a target that changes its service leaves the list of the former one

Cause: Aggregate kept its targets in two maps, by incarnation and by service. SetTarget added a target that had changed its service to the new one and left it in the list of the former one. RemoveTarget removed it from the new one only, and deleted that service with its last target. The next tick went through the former list and looked up the service that no longer existed.

targetIndex now owns both maps, and only its two methods change them. A target that changes its service is removed and added again, without the measurements, which compared it with the targets of the former service.

--- a/pkg/capacity/aggregate.go
+++ b/pkg/capacity/aggregate.go
@@ -72,10 +72,9 @@
 	// Aggregate adds up the reports of the entry VMs that are connected to a hub, and
 	// the sums of other hubs. It is not safe for concurrent use.
 	Aggregate struct {
-		targets  map[fleet.Incarnation]*targetState
-		services map[fleet.ServiceID]*serviceState
-		vms      map[fleet.VMID]*vmState
-		hubs     map[fleet.VMID]*hubState
+		targetIndex
+		vms  map[fleet.VMID]*vmState
+		hubs map[fleet.VMID]*hubState
 		// load is the last publication, and sums the last message to other hubs.
 		load             *Load
 		sums             *Sums
@@ -84,6 +83,16 @@
 		reports, invalid uint64
 	}
 
+	// targetIndex holds the targets by incarnation and by service. Only its methods
+	// change the two maps.
+	//
+	// Invariant: services[id].targets contains exactly those of targets whose Service
+	// is id, and no service is without targets.
+	targetIndex struct {
+		targets  map[fleet.Incarnation]*targetState
+		services map[fleet.ServiceID]*serviceState
+	}
+
 	vmState struct {
 		zone     fleet.ZoneID
 		services map[fleet.ServiceID]vmLoad
@@ -147,43 +156,44 @@
 // NewAggregate returns an empty aggregate.
 func NewAggregate() *Aggregate {
 	return &Aggregate{
-		targets: make(map[fleet.Incarnation]*targetState), services: make(map[fleet.ServiceID]*serviceState),
-		vms: make(map[fleet.VMID]*vmState), hubs: make(map[fleet.VMID]*hubState),
+		targetIndex: targetIndex{targets: make(map[fleet.Incarnation]*targetState), services: make(map[fleet.ServiceID]*serviceState)},
+		vms:         make(map[fleet.VMID]*vmState), hubs: make(map[fleet.VMID]*hubState),
 	}
 }
 
-// SetTarget adds a target or changes it.
-func (a *Aggregate) SetTarget(t Target) {
-	s := a.targets[t.ID]
+// SetTarget adds a target or changes it. Measurements of a target that has changed its
+// service are dropped, since they compare it with the targets of the former one.
+func (x *targetIndex) SetTarget(t Target) {
+	s := x.targets[t.ID]
+	if s != nil && s.Service != t.Service {
+		x.RemoveTarget(t.ID)
+		s = nil
+	}
 	if s == nil {
 		s = &targetState{samples: make(map[fleet.VMID]*sample)}
-		a.targets[t.ID] = s
+		x.targets[t.ID] = s
 	}
 	s.Target = t
-	a.service(t.Service).targets[t.ID] = s
+	svc := x.services[t.Service]
+	if svc == nil {
+		svc = &serviceState{targets: make(map[fleet.Incarnation]*targetState)}
+		x.services[t.Service] = svc
+	}
+	svc.targets[t.ID] = s
 }
 
-// RemoveTarget removes a target.
-func (a *Aggregate) RemoveTarget(id fleet.Incarnation) {
-	t := a.targets[id]
+// RemoveTarget removes a target. It has no effect for an unknown one.
+func (x *targetIndex) RemoveTarget(id fleet.Incarnation) {
+	t := x.targets[id]
 	if t == nil {
 		return
 	}
-	delete(a.targets, id)
-	s := a.services[t.Service]
+	delete(x.targets, id)
+	s := x.services[t.Service]
 	delete(s.targets, id)
 	if len(s.targets) == 0 {
-		delete(a.services, t.Service)
-	}
-}
-
-func (a *Aggregate) service(id fleet.ServiceID) *serviceState {
-	s := a.services[id]
-	if s == nil {
-		s = &serviceState{targets: make(map[fleet.Incarnation]*targetState)}
-		a.services[id] = s
+		delete(x.services, t.Service)
 	}
-	return s
 }
 
 // Report adds a report of an entry VM. Entries about unknown services or targets
