feed: several saved targets may have one address

A hub that restarted went on publishing a saved target to entry VMs although another one had announced itself at its address: new flows went to a process that might be gone, until the silence limit after the start.

Cause: restoredTargets kept one target for each address, but a registry, and so the saved state, has several at an address until it is known which of them run. The last one took the place of the others, which claimRestored and checkPlace then did not find.

--- a/internal/feed/admit.go
+++ b/internal/feed/admit.go
@@ -86,10 +86,7 @@
 	if r, ok := s.restored.records[rec.Target.ID.Incarnation]; ok {
 		records = append(records, r)
 	}
-	if id, ok := s.restored.byAddress[rec.Target.ID.Address]; ok {
-		records = append(records, s.restored.records[id])
-	}
-	return records
+	return append(records, s.restored.at(rec.Target.ID.Address)...)
 }
 
 // hasService reports whether a catalog, which may be nil, has a service.
--- a/internal/feed/restored.go
+++ b/internal/feed/restored.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"bamboowalk.org/bamboowalk/pkg/fleet"
@@ -20,9 +21,12 @@
 // and that no hub has heard since the start. They are published to entry VMs only:
 // other hubs may have forgotten that such a target has left, and would take it for
 // a live one.
+//
+// Invariant: byAddress[a] contains the targets in records with the address a, and no
+// address is without targets. Only add, take and tick change the two maps.
 type restoredTargets struct {
 	records   map[fleet.Incarnation]registry.Record
-	byAddress map[netip.AddrPort]fleet.Incarnation
+	byAddress map[netip.AddrPort][]fleet.Incarnation
 	// expireAt is the time from which the targets in records are dropped.
 	expireAt, lastTick time.Time
 	// dropped holds, for registry.GoneRetention, the targets that were dropped.
@@ -36,14 +40,17 @@
 
 func newRestoredTargets(expireAt, now time.Time) restoredTargets {
 	return restoredTargets{
-		records: make(map[fleet.Incarnation]registry.Record), byAddress: make(map[netip.AddrPort]fleet.Incarnation),
+		records: make(map[fleet.Incarnation]registry.Record), byAddress: make(map[netip.AddrPort][]fleet.Incarnation),
 		expireAt: expireAt, lastTick: now,
 	}
 }
 
+// add adds a record. It replaces that of the same target, if there is one.
 func (r *restoredTargets) add(rec registry.Record) {
-	r.records[rec.Target.ID.Incarnation] = rec
-	r.byAddress[rec.Target.ID.Address] = rec.Target.ID.Incarnation
+	id, address := rec.Target.ID.Incarnation, rec.Target.ID.Address
+	r.take(id)
+	r.records[id] = rec
+	r.byAddress[address] = append(r.byAddress[address], id)
 }
 
 // take removes and returns the record of a target.
@@ -53,12 +60,25 @@
 		return rec, false
 	}
 	delete(r.records, id)
-	if address := rec.Target.ID.Address; r.byAddress[address] == id {
+	address := rec.Target.ID.Address
+	others := slices.DeleteFunc(r.byAddress[address], func(o fleet.Incarnation) bool { return o == id })
+	if len(others) == 0 {
 		delete(r.byAddress, address)
+	} else {
+		r.byAddress[address] = others
 	}
 	return rec, true
 }
 
+// at returns the records of the targets at an address.
+func (r *restoredTargets) at(address netip.AddrPort) []registry.Record {
+	var records []registry.Record
+	for _, id := range r.byAddress[address] {
+		records = append(records, r.records[id])
+	}
+	return records
+}
+
 // all returns the records of all targets.
 func (r *restoredTargets) all() []registry.Record {
 	records := make([]registry.Record, 0, len(r.records))
@@ -95,8 +115,8 @@
 
 // claimRestored moves the restored record of a target that a hub has heard into the
 // registry, where the newer of the two records counts, and likewise the restored
-// record of another target at the same address, which the registry marks as gone if
-// it started earlier.
+// records of other targets at the same address, which the registry marks as gone once
+// they are replaced.
 func (s *Store) claimRestored(rec *registry.Record, now time.Time) error {
 	if len(s.restored.records) == 0 {
 		return nil
@@ -109,8 +129,8 @@
 		return nil
 	}
 	ids := []fleet.Incarnation{id}
-	if other, ok := s.restored.byAddress[rec.Target.ID.Address]; ok && !known.Gone() {
-		ids = append(ids, other)
+	if !known.Gone() {
+		ids = append(ids, s.restored.byAddress[rec.Target.ID.Address]...)
 	}
 	for _, id := range ids {
 		restored, ok := s.restored.take(id)
