capacity: a report of an earlier time does not end the entry VM

An entry VM could end with "slice bounds out of range" in Meter.addTargets.

Cause: the goroutines that create reports read the clock before they take the lock of the core. One that waits for the lock, or loses the processor, for longer than the other one's report is old makes Report count the budget back by the time between the two. A negative budget is a negative slice length.

Evidence: TestReportOfEarlierTime on the former code panics with "slice bounds out of range [:-852]". Not seen in a running VM: it takes a delay of more than 0.2 s between two statements, and an earlier report without figures.

The budget no longer shrinks by an earlier time.

--- a/pkg/capacity/index_test.go
+++ b/pkg/capacity/index_test.go
@@ -96,3 +96,28 @@
 		})
 	}
 }
+
+// TestReportOfEarlierTime guards against a report that is created with a time before that
+// of the previous one, which had nothing to tell: the budget became negative, and with it
+// the length of a slice.
+func TestReportOfEarlierTime(t *testing.T) {
+	m := NewMeter()
+	m.Offer("s", 0)
+	if r := m.Report(nil, true, start); r == nil {
+		t.Fatal("first report: got none")
+	}
+	// The rates of the service decay, and reports come to have nothing to tell.
+	now := start
+	for range 100 {
+		now = now.Add(IdleInterval)
+		m.Report(nil, true, now)
+	}
+	now = now.Add(time.Minute)
+	if r := m.Report(nil, true, now); r != nil {
+		t.Fatalf("report without figures: got %+v, want none", r)
+	}
+	m.Measure(1, time.Millisecond)
+	if r := m.Report(nil, true, now.Add(-30*time.Second)); r == nil || len(r.Targets) != 1 {
+		t.Errorf("report of an earlier time: got %+v, want that of target 1", r)
+	}
+}
--- a/pkg/capacity/meter.go
+++ b/pkg/capacity/meter.go
@@ -162,7 +162,8 @@
 	slices.SortFunc(ids, func(a, b fleet.ServiceID) int {
 		return cmp.Or(m.services[a].sentAt.Compare(m.services[b].sentAt), cmp.Compare(a, b))
 	})
-	dt := now.Sub(m.budgetAt).Seconds()
+	// Callers read the clock before they take their lock, so that now may be before budgetAt.
+	dt := max(now.Sub(m.budgetAt), 0).Seconds()
 	m.targetBudget = min(m.targetBudget+targetRate*dt, targetRate)
 	m.serviceBudget = min(m.serviceBudget+serviceRate*dt, serviceRate)
 	m.budgetAt = now
