--- a/pkg/capacity/aggregate.go
+++ b/pkg/capacity/aggregate.go
@@ -196,6 +196,15 @@
 	}
 }
 
+// Targets returns the targets in any order.
+func (x *targetIndex) Targets() []Target {
+	list := make([]Target, 0, len(x.targets))
+	for _, t := range x.targets {
+		list = append(list, t.Target)
+	}
+	return list
+}
+
 // Report adds a report of an entry VM. Entries about unknown services or targets
 // are ignored: the VM may know a newer catalog.
 func (a *Aggregate) Report(vm fleet.VMID, zone fleet.ZoneID, r *Report, now time.Time) {
--- a/pkg/steering/backlog.go
+++ b/pkg/steering/backlog.go
@@ -54,6 +54,7 @@
 	h := HeldPacket{Packet: *p, Arrived: now.Add(-p.Waited)}
 	h.Packet.Waited = 0
 	if i, ok := b.opening[p.Flow]; ok && p.Opening {
+		b.bytes += len(data) - len(b.packets[i].Data)
 		h.Data = append(b.packets[i].Data[:0], data...)
 		b.packets[i] = h
 		return true
--- a/pkg/steering/core.go
+++ b/pkg/steering/core.go
@@ -331,9 +331,11 @@
 		k := CookieOf(records[i].Target.ID.Incarnation)
 		before := c.view.targets[k]
 		c.view.setTarget(&records[i], now)
-		if t := c.view.targets[k]; before != nil && before.born != t.born {
+		t := c.view.targets[k]
+		if before != nil && before.born != t.born {
 			c.targetRestarted(k, now)
 		}
+		c.load.setTarget(before, t)
 	}
 }
 
--- a/pkg/steering/fleetload.go
+++ b/pkg/steering/fleetload.go
@@ -36,7 +36,7 @@
 	fleetLoad struct {
 		meter *capacity.Meter
 		// own aggregates this VM's own reports while no hub publishes figures, and is
-		// otherwise nil.
+		// otherwise nil. It has the targets of the view that are not gone.
 		own     *capacity.Aggregate
 		takenAt time.Time
 		// positions holds the position on the wheel of each service and zone.
@@ -139,11 +139,7 @@
 	if c.load.own == nil {
 		c.load.own = capacity.NewAggregate()
 		for _, t := range c.view.targets {
-			if t.State != fleet.TargetGone {
-				c.load.own.SetTarget(capacity.Target{
-					ID: t.ID.Incarnation, Service: t.ID.Service, Zone: t.Zone, Slots: t.Slots, Open: t.TakesNewFlows(),
-				})
-			}
+			c.load.setTarget(nil, t)
 		}
 	}
 	c.load.own.Report("", c.Zone, r, now)
@@ -152,6 +148,24 @@
 	}
 }
 
+// setTarget brings the own aggregate, if there is one, into line with a target of the view
+// that has taken the place of another one, which may be nil.
+func (l *fleetLoad) setTarget(before, t *Target) {
+	if l.own == nil {
+		return
+	}
+	if before != nil && before.ID.Incarnation != t.ID.Incarnation {
+		l.own.RemoveTarget(before.ID.Incarnation)
+	}
+	if t.State == fleet.TargetGone {
+		l.own.RemoveTarget(t.ID.Incarnation)
+		return
+	}
+	l.own.SetTarget(capacity.Target{
+		ID: t.ID.Incarnation, Service: t.ID.Service, Zone: t.Zone, Slots: t.Slots, Open: t.TakesNewFlows(),
+	})
+}
+
 // tickFleetLoad evaluates the measurements of this VM if no hub asks for them.
 func (c *Core) tickFleetLoad(now time.Time) {
 	if c.Estimate != nil && !c.Estimate.Known(now) && now.Sub(c.load.takenAt) >= unreadReportTime {
