steering, feed, gateway: packets of an open flow follow the target that opened it

One lost datagram at the opening makes the caller repeat its opening packet, and a second target is offered the flow. The target whose answer the caller does not acknowledge repeats it for up to 9.4 s, and the caller then places that target's cookie in its packets.

Cause: the entry VM knew at which target the flow had opened, but the flow table forgot it at the deadline of the first request plus one second. From then on, as at any VM that had not seen the opening, the cookie of a packet counted as proof of the flow's target.

Now a flow that leaves the table while it is open keeps its target in a table of bindings for as long as it is used. A flow that several targets may have been offered is contested. Entry VMs report such flows, with the target if they know it, to the hubs, which pass the reports on to all VMs for a minute, and to VMs that start. A VM that knows an open flow answers reports without a target. What a VM has seen itself counts more than a report, a report more than the first cookie, and that more than later cookies. If the table is full, contested flows take the place of others, whose cookies suffice.

Weighed: - entries for contested flows only: less memory, but a VM may not know that another one has offered the flow again. At the target size a VM has about 7,900 open flows: 2.1 MB of bindings, and 0.23 ms a second to search them. A full table takes 17 MB (measured). - a copy to the same target while that one shows life: a full target shows life too and does not answer, and at 20 flows a second a VM hears a target too rarely to tell a lost datagram from a stopped target within 200 ms. Openings at stopped targets would get slower. - a cookie that tells opened from offered: it says nothing about where else the flow is open, so that the knowledge of the VM would still be needed, and half of the cookies would be lost: at 23,000 targets, hashes collide.

--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -95,6 +95,9 @@
 		// Zones is nil if the zones have not changed or there was no zone order. A
 		// subscriber applies only a higher revision than its own.
 		Zones *catalog.Zones `cbor:"10,keyasint,omitempty"`
+		// Bindings lists the contested flows that entry VMs have reported. An update to a
+		// hub lists those that were reported to the publisher.
+		Bindings []fleet.FlowBinding `cbor:"11,keyasint,omitempty"`
 		// Dropped is the number of invalid records that were left out of Records when the
 		// update was received.
 		Dropped int `cbor:"-"`
@@ -163,6 +166,8 @@
 		Answered []fleet.Incarnation `cbor:"12,keyasint,omitempty"`
 		// Load holds the measurements of the entry VM since its last report, if one is due.
 		Load *capacity.Report `cbor:"7,keyasint,omitempty"`
+		// Bindings lists contested flows that the entry VM has not reported yet.
+		Bindings []fleet.FlowBinding `cbor:"13,keyasint,omitempty"`
 	}
 
 	// MessageError reports a message that can't be encoded or decoded, or that is
@@ -174,10 +179,10 @@
 	}
 )
 
-// Equal reports whether two acknowledgements say the same. One with a load report
-// always says something new.
+// Equal reports whether two acknowledgements say the same. One with a load report or with
+// bindings always says something new.
 func (a *Ack) Equal(o *Ack) bool {
-	return a.Load == nil && a.Version == o.Version && a.Number == o.Number && slices.Equal(a.Suspects, o.Suspects) &&
+	return a.Load == nil && len(a.Bindings) == 0 && a.Version == o.Version && a.Number == o.Number && slices.Equal(a.Suspects, o.Suspects) &&
 		slices.Equal(a.Overdue, o.Overdue) && slices.Equal(a.Sources, o.Sources) && a.ZoneRevision == o.ZoneRevision &&
 		slices.Equal(a.Failed, o.Failed) && slices.Equal(a.Answered, o.Answered)
 }
@@ -207,6 +212,11 @@
 	before := len(u.Records)
 	u.Records = slices.DeleteFunc(u.Records, func(r registry.Record) bool { return r.Validate() != nil })
 	u.Dropped = before - len(u.Records)
+	u.Bindings = validBindings(u.Bindings)
+}
+
+func validBindings(list []fleet.FlowBinding) []fleet.FlowBinding {
+	return slices.DeleteFunc(list, func(b fleet.FlowBinding) bool { return b.Validate() != nil })
 }
 
 // Validate returns a MessageError for invalid zones or an invalid load. A catalog
--- a/internal/feed/reports.go
+++ b/internal/feed/reports.go
@@ -113,6 +113,9 @@
 		s.lost.report(vm, zone, a)
 	}
 	s.load.report(vm, zone, a.Load, now)
+	if s.bindings.add(validBindings(a.Bindings), true, now) {
+		s.notify()
+	}
 }
 
 // aggregateReports aggregates the reports if they have changed since the last call,
--- a/internal/feed/state.go
+++ b/internal/feed/state.go
@@ -65,6 +65,8 @@
 		zones    catalog.Zones
 		// restored is the generation of the restored targets, 0 in a feed to hubs.
 		restored int
+		// bindings is the version of the bindingLog.
+		bindings uint64
 	}
 
 	fullUpdate struct {
@@ -143,7 +145,7 @@
 	n := state{
 		id: f.state.id, version: s.targets.Version(), number: s.catalog.Number(),
 		complete: s.complete, current: s.current, hubs: s.hubs, reports: s.reportsFor(f.role),
-		zones: s.zoneOrders,
+		zones: s.zoneOrders, bindings: s.bindings.version,
 	}
 	if f.role == Entry {
 		n.restored = s.restored.generation
@@ -158,7 +160,7 @@
 
 func (s *state) equal(o *state) bool {
 	return s.version == o.version && s.restored == o.restored && s.number == o.number && s.complete == o.complete && s.current == o.current &&
-		slices.Equal(s.hubs, o.hubs) && s.reports.equal(&o.reports) && s.zones.Revision == o.zones.Revision
+		slices.Equal(s.hubs, o.hubs) && s.reports.equal(&o.reports) && s.zones.Revision == o.zones.Revision && s.bindings == o.bindings
 }
 
 // fullFrame returns the first update of a subscriber.
@@ -173,6 +175,7 @@
 	u := &Update{
 		Catalog: s.catalog.Delta(number), Records: s.targets.Changes(0, now), Version: f.state.version, Full: true,
 		Complete: f.state.complete, Current: f.state.current, Hubs: f.state.hubs, Reports: &f.state.reports,
+		Bindings: s.bindings.between(0, f.state.bindings, f.role),
 	}
 	if f.state.zones.Revision > 0 {
 		u.Zones = &f.state.zones
@@ -202,6 +205,7 @@
 	frame := f.updates[key]
 	if frame == nil {
 		u := &Update{Version: to.version, Complete: to.complete, Current: to.current, Records: s.targets.Changes(from.version, now)}
+		u.Bindings = s.bindings.between(from.bindings, to.bindings, f.role)
 		// After the first update, hubs get catalogs from the replicated log.
 		if f.role == Entry {
 			u.Catalog = s.catalog.Delta(from.number)
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -80,6 +80,7 @@
 	// since when, and holdersChosen counts the choices of holders.
 	unheld        map[fleet.Incarnation]time.Time
 	holdersChosen uint64
+	bindings      bindingLog
 }
 
 // NewStore returns a store of the hub self, without a catalog.
@@ -109,6 +110,7 @@
 		followed:      make(map[fleet.VMID]map[fleet.VMID]bool),
 		entryVMs:      make(map[*Hello]catalog.ZoneRevision),
 		unheld:        make(map[fleet.Incarnation]time.Time),
+		bindings:      newBindingLog(),
 	}
 	targets.LimitsCold = func(id fleet.ServiceID) bool { return s.coldBudget(id) > 0 }
 	targets.Known = func(id fleet.ServiceID) bool { return hasService(s.catalog.Newest(), id) }
@@ -335,6 +337,9 @@
 	if u.Full && u.Complete && now.Before(s.completeAt) {
 		s.completeAt = now
 	}
+	if s.bindings.add(u.Bindings, false, now) {
+		s.entryFeed.notify()
+	}
 	s.sources[from] = true
 	if u.Full {
 		s.fullFrom[from] = true
@@ -359,6 +364,7 @@
 	s.noticeSuspension(now)
 	s.aggregateReports()
 	s.aggregateLoad(now)
+	s.bindings.expire(now)
 	before := s.targets.Version()
 	s.targets.Tick(now)
 	s.updateLost(now)
@@ -520,6 +526,10 @@
 	Unheld        int
 	// Lost is the number of lost targets.
 	Lost int
+	// Bindings is the number of contested flows that this hub knows, and RejectedBindings
+	// the number of reports of them above the limit.
+	Bindings         int
+	RejectedBindings uint64
 	// Load is nil without the setting LoadReports.
 	Load *LoadStats
 }
@@ -536,7 +546,7 @@
 		Targets: states, Subscribers: maps.Clone(s.subscribers), Number: s.catalog.Number(),
 		Current: s.current, Hubs: len(s.hubs), SharedSuspects: len(s.suspected.shared),
 		SharedOverdue: len(s.overdue.shared), HoldersChosen: s.holdersChosen, Unheld: len(s.unheld),
-		Lost: len(s.lost.lost), Load: s.load.stats(),
+		Lost: len(s.lost.lost), Load: s.load.stats(), Bindings: len(s.bindings.list), RejectedBindings: s.bindings.rejected,
 	}
 }
 
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -46,6 +46,9 @@
 	// refused for lack of room. It covers the repetitions of callers' packets that were
 	// lost while this VM was down.
 	admissionDelay = 2 * time.Second
+	// bindingInterval is the time between two searches for contested flows to report. A
+	// crash in this time loses what only this VM knows.
+	bindingInterval = 20 * time.Millisecond
 	// readHeaderTimeout bounds the time to read the headers of an HTTP request.
 	readHeaderTimeout = 2 * time.Second
 )
@@ -194,7 +197,7 @@
 	d.follower.Core, d.follower.Apply = d.core, d.applyMirror
 	d.follower.setSeeds(d.Settings.Seeds)
 	d.checker.Core, d.checker.Matches, d.checker.Log = d.core, d.Codec.Matches, d.Log
-	d.checker.Changed = d.follower.suspectsChanged
+	d.checker.Changed = d.follower.acknowledgeAgain
 	d.checker.semaphore = make(chan struct{}, maxChecks)
 	if d.Settings.LoadReports {
 		d.checker.semaphore = make(chan struct{}, maxSharedChecks)
@@ -219,6 +222,7 @@
 			d.logConfirmation(now)
 		})
 	})
+	group.Go(func() error { return runTicks(workCtx, bindingInterval, d.reportBindings) })
 	group.Go(func() error { return d.receive(workCtx) })
 	group.Go(func() error { return d.checker.run(workCtx) })
 	if d.Settings.LoadReports {
@@ -361,7 +365,14 @@
 	d.suspension.Observe(now)
 	d.core.Tick(now)
 	if d.core.ReportDue(now) {
-		d.follower.suspectsChanged()
+		d.follower.acknowledgeAgain()
+	}
+}
+
+// reportBindings reports contested flows that no report has named.
+func (d *Daemon) reportBindings(time.Time) {
+	if d.core.BindingsDue() {
+		d.follower.acknowledgeAgain()
 	}
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -461,6 +461,7 @@
 			} else {
 				f.Core.ConfirmFleetLoad(now)
 			}
+			f.Core.SetBindings(u.Bindings, now)
 			lost = f.applyLost(u, lost, now)
 			f.Core.Updated(now)
 			f.Core.Tick(now)
@@ -483,8 +484,8 @@
 
 // acknowledge sends the hub the versions of the targets and of the catalog that
 // this VM has applied, the targets that this VM suspects, the targets at which
-// requests that this VM forwarded were recently overdue, and the load report that is
-// due, if any. It sends nothing if the hub has been sent the same less than
+// requests that this VM forwarded were recently overdue, the load report that is due, if
+// any, and contested flows whose targets this VM knows. It sends nothing if the hub has been sent the same less than
 // ackInterval ago.
 func (f *follower) acknowledge(s *hubFeed, v registry.Version) error {
 	now := time.Now()
@@ -498,6 +499,7 @@
 	slices.Sort(ack.Answered)
 	slices.Sort(ack.Overdue)
 	ack.Load = f.Core.LoadReport(now)
+	ack.Bindings = f.Core.Bindings(f.source != s)
 	if f.source == s && now.Sub(f.ackedAt) < ackInterval && ack.Equal(&f.lastAck) {
 		f.mu.Unlock()
 		return nil
@@ -507,8 +509,9 @@
 	return s.feed.Acknowledge(ack)
 }
 
-// suspectsChanged sends the hub the changed list of suspected targets at once.
-func (f *follower) suspectsChanged() {
+// acknowledgeAgain sends the hub what has changed since the last acknowledgement at once:
+// the list of suspected targets, or contested flows.
+func (f *follower) acknowledgeAgain() {
 	f.mu.Lock()
 	s, v := f.source, f.lastAck.Version
 	f.mu.Unlock()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,8 @@
 	staleDesc         = newDesc("stale_openings_total", "Opening packets dropped because they waited while the process was suspended.")
 	failedSendsDesc   = newDesc("failed_sends_total", "Packets that could not be sent.")
 	flowsDesc         = newDesc("table_flows", "Flows in the table, ended ones included that are still remembered.")
+	bindingsDesc      = newDesc("flow_bindings", "Open flows outside the table whose target this VM knows; contested ones may have been offered to several targets.", "contested")
+	rejectedDesc      = newDesc("flow_bindings_rejected_total", "Bindings of flows for which there was no place.")
 	suspectedDesc     = newDesc("doubted_targets", "Targets that do not answer this VM.")
 	doubtsDesc        = newDesc("doubts_total", "Early doubts: opening packets without an answer in time.")
 	lostDesc          = newDesc("known_lost_targets", "Targets that the feed calls lost.")
@@ -67,7 +69,7 @@
 	opens.Describe(descs)
 	flows.Describe(descs)
 	return []*prometheus.Desc{
-		packetsDesc, invalidDesc, staleDesc, failedSendsDesc, flowsDesc, suspectedDesc, doubtsDesc, lostDesc, overdueDesc, coldDesc, heldDesc, waitingDesc,
+		packetsDesc, invalidDesc, staleDesc, failedSendsDesc, flowsDesc, bindingsDesc, rejectedDesc, suspectedDesc, doubtsDesc, lostDesc, overdueDesc, coldDesc, heldDesc, waitingDesc,
 		limitDesc, inFlightDesc, slowDesc, fleetSlotsDesc, fleetInFlightDesc, loadAgeDesc, loadReportsDesc, targetsDesc, numberDesc, catalogAgeDesc,
 		feedAgeDesc, unconfirmedDesc, feedsDesc, checksDesc, zonesDesc, evacuatedDesc, leftOutDesc, droppedDesc, <-descs, <-descs,
 	}
@@ -109,6 +111,10 @@
 	counter(staleDesc, c.d.stale.Load())
 	counter(failedSendsDesc, c.d.failedSends.Load())
 	gauge(flowsDesc, float64(stats.Flows))
+	bindings := c.d.core.BindingStats()
+	gauge(bindingsDesc, float64(bindings.Contested), "true")
+	gauge(bindingsDesc, float64(bindings.Flows-bindings.Contested), "false")
+	counter(rejectedDesc, bindings.Rejected)
 	gauge(suspectedDesc, float64(stats.Suspected))
 	lost := c.d.core.LostStats()
 	counter(doubtsDesc, lost.Doubts)
--- a/internal/hub/observe.go
+++ b/internal/hub/observe.go
@@ -24,6 +24,8 @@
 	lostDesc           = newDesc("lost_targets", "Targets that are lost according to this hub.")
 	holdersDesc        = newDesc("holder_choices_total", "Warm-ups of targets for which this hub has chosen the holders.")
 	unheldDesc         = newDesc("unheld_targets", "Cold targets with a budget and without holders, as known to this hub.")
+	contestedDesc      = newDesc("contested_flows", "Reports of contested flows that this hub passes on.")
+	rejectedDesc       = newDesc("contested_reports_rejected_total", "Reports of contested flows above the limit of this hub.")
 	sharedSlowDesc     = newDesc("shared_slow_targets", "Slow targets that this hub publishes, by slowness.", "slowness")
 	hubSlotsDesc       = newDesc("hub_fleet_slots", "Slots of the targets of a service weighted by speed.", "service")
 	hubInFlightDesc    = newDesc("hub_fleet_in_flight", "Requests in flight of the entry VMs of all hubs.", "service")
@@ -44,6 +46,7 @@
 func Descriptions() []*prometheus.Desc {
 	return []*prometheus.Desc{
 		targetsDesc, subscribersDesc, publishedDesc, currentDesc, hubsDesc, sharedSuspectsDesc, sharedOverdueDesc, lostDesc, holdersDesc, unheldDesc,
+		contestedDesc, rejectedDesc,
 		sharedSlowDesc, hubSlotsDesc, hubInFlightDesc, hubReportsDesc, hubIgnoredDesc, publicationsDesc, connectionsDesc, refusedConnsDesc,
 		failedSavesDesc, zoneRevisionDesc, evacuatedDesc, zoneOrdersDesc, leftOutDesc, droppedDesc,
 	}
@@ -115,6 +118,8 @@
 	gauge(lostDesc, float64(s.Lost))
 	counter(holdersDesc, s.HoldersChosen)
 	gauge(unheldDesc, float64(s.Unheld))
+	gauge(contestedDesc, float64(s.Bindings))
+	counter(rejectedDesc, s.RejectedBindings)
 	if l := s.Load; l != nil {
 		for step, n := range l.Slow {
 			gauge(sharedSlowDesc, float64(n), capacity.StepLabel(step))
--- a/pkg/steering/core.go
+++ b/pkg/steering/core.go
@@ -32,6 +32,7 @@
 	CauseCopy          Cause = "Copy"          // a retransmitted opening packet
 	CauseFlow          Cause = "Flow"          // a packet of a flow in the flow table
 	CauseCookie        Cause = "Cookie"        // a packet with a cookie, of a flow that is not in the flow table
+	CauseBinding       Cause = "Binding"       // the same, but the flow is open at another target than that of the cookie
 	CauseNoCatalog     Cause = "NoCatalog"     // no catalog has arrived yet
 	CauseNoRoute       Cause = "NoRoute"       // no route has the destination address of the packet
 	CauseNoTarget      Cause = "NoTarget"      // no target of the service accepts new flows
@@ -53,7 +54,7 @@
 
 // Causes lists all causes.
 var Causes = []Cause{
-	CauseOpened, CauseCopy, CauseFlow, CauseCookie, CauseNoCatalog, CauseNoRoute, CauseNoTarget, CauseNoCookie,
+	CauseOpened, CauseCopy, CauseFlow, CauseCookie, CauseBinding, CauseNoCatalog, CauseNoRoute, CauseNoTarget, CauseNoCookie,
 	CauseUnknownCookie, CauseTargetGone, CauseEvacuated, CauseNoRegion, CauseOverload, CauseQueued, CauseNoRoom,
 	CauseCallerShare, CauseRetryBudget, CauseTargetLost,
 	CauseUnconfirmed, CauseSuspended, CauseOutdated,
@@ -246,16 +247,20 @@
 		held         map[FlowKey]*heldOpening
 		waiting      atomic.Int64
 		suspended    suspended
+		bindings     bindings
 	}
 
 	// flow is a flow whose opening packet this VM has received.
 	flow struct {
-		target   Cookie
-		service  fleet.ServiceID
-		opened   bool
-		ended    bool
-		route    *catalog.Route
-		deadline time.Time
+		target  Cookie
+		service fleet.ServiceID
+		opened  bool
+		ended   bool
+		// contested is set if another target than that of the flow may have been offered
+		// it, by this VM or another one.
+		contested bool
+		route     *catalog.Route
+		deadline  time.Time
 		// started is the time of the first opening packet, and lastOpening the
 		// time of the last one.
 		started, lastOpening time.Time
@@ -385,18 +390,22 @@
 		return Decision{Op: Reset, Cause: CauseNoRoute}
 	}
 	f := c.flows[p.Flow]
-	if f != nil && f.opened && !f.ended {
-		if t := c.view.targets[f.target]; t != nil {
-			// The flow is open, so that neither a reset nor another target is allowed. If
-			// the caller has opened a new flow from the same port, the target would open
-			// it.
-			if !c.gates.admits(t) {
-				return Decision{Op: Drop, Cause: CauseEvacuated}
-			}
-			// Packets of open flows are never held back, but count.
-			c.countOpening(c.view.services[t.ID.Service], t, now)
-			return Decision{Op: Forward, Cause: CauseFlow, Target: t}
+	var open *Target
+	switch {
+	case f == nil:
+		open = c.opensBound(p, now)
+	case f.opened && !f.ended:
+		open = c.view.targets[f.target]
+	}
+	if open != nil {
+		// The flow is open, so that neither a reset nor another target is allowed. If the
+		// caller has opened a new flow from the same port, the target would open it.
+		if !c.gates.admits(open) {
+			return Decision{Op: Drop, Cause: CauseEvacuated}
 		}
+		// Packets of open flows are never held back, but count.
+		c.countOpening(c.view.services[open.ID.Service], open, now)
+		return Decision{Op: Forward, Cause: CauseFlow, Target: open}
 	}
 	isNew := f == nil || f.ended
 	if !isNew && c.repeatsEarly(f, now) {
@@ -428,7 +437,10 @@
 	d := Decision{Op: Forward, Cause: CauseOpened, Service: s.ID}
 	exclude := Cookie(0)
 	started := now
-	if f != nil && !f.ended {
+	// Another VM may have received the earlier copies.
+	contested := p.Copy > 0 && !wasHeld
+	isNew := f == nil || f.ended
+	if !isNew {
 		d.Cause, d.Former = CauseCopy, c.view.targets[f.target]
 		exclude, started = f.target, f.started
 		c.suspectTarget(f)
@@ -454,10 +466,19 @@
 		return Decision{Op: Reset, Cause: cause, Service: s.ID}
 	}
 	c.countOpening(s, d.Target, now)
+	if !isNew {
+		contested = contested || f.contested || f.target != d.Target.Cookie
+	}
 	l := c.targetLoadOf(d.Target.Cookie)
 	d.Running = l.running
 	if len(c.flows) < maxFlows || f != nil {
-		f = &flow{target: d.Target.Cookie, service: s.ID, route: r.Route, started: started, lastOpening: now, deadline: now.Add(r.Deadline + deadlineMargin)}
+		f = &flow{
+			target: d.Target.Cookie, service: s.ID, route: r.Route, started: started, lastOpening: now,
+			deadline: now.Add(r.Deadline + deadlineMargin), contested: contested,
+		}
+		if contested {
+			c.bindings.report(p.Flow)
+		}
 		c.flows[p.Flow] = f
 		l.running++
 		svcLoad.running++
@@ -481,7 +502,11 @@
 		return c.decideByCookie(p, now)
 	}
 	if !f.opened && p.Cookie != 0 {
-		c.bindFlow(p.Flow, f, p.Cookie, now)
+		k := p.Cookie
+		if b, ok := c.bindings.flows[p.Flow]; ok {
+			k = b.target // Another VM has seen the flow open.
+		}
+		c.bindFlow(p.Flow, f, k, now)
 	}
 	if c.resetsLost(p, f, f.target, now) {
 		c.endFlow(p.Flow, f, false, now)
@@ -509,6 +534,11 @@
 func (c *Core) bindFlow(key FlowKey, f *flow, k Cookie, now time.Time) {
 	e := c.newEvent(f, now)
 	f.opened = true
+	c.bindings.remove(key)
+	f.contested = f.contested || k != f.target
+	if f.contested {
+		c.bindings.report(key)
+	}
 	if k != f.target {
 		e.Former = e.Target
 		inFlight := f.request.inFlight
@@ -568,8 +598,14 @@
 	return c.view.targets[k]
 }
 
+// decideByCookie returns the decision for a packet of a flow that is not in the flow table.
+// The packet goes to the target of the flow's binding, or to the one that its cookie names.
 func (c *Core) decideByCookie(p *Packet, now time.Time) Decision {
-	k := p.Cookie
+	k, cause := p.Cookie, CauseCookie
+	target, bound := c.useBinding(p, now)
+	if bound && target != k {
+		k, cause = target, CauseBinding
+	}
 	if k == 0 {
 		return Decision{Op: Drop, Cause: CauseNoCookie}
 	}
@@ -582,7 +618,10 @@
 	case c.resetsLost(p, nil, k, now):
 		return Decision{Op: Reset, Cause: CauseTargetLost, Service: t.ID.Service, Target: t}
 	}
-	return Decision{Op: Forward, Cause: CauseCookie, Target: t}
+	if !bound {
+		c.adoptBinding(p, now)
+	}
+	return Decision{Op: Forward, Cause: cause, Target: t}
 }
 
 // Tick checks for overdue requests and removes expired flows. Decide does the
@@ -614,10 +653,14 @@
 			c.checkOverdue(k, f, now)
 		}
 		if expired {
+			if f.opened && !f.ended {
+				c.keepBinding(k, f, now)
+			}
 			c.endFlow(k, f, false, now)
 			delete(c.flows, k)
 		}
 	}
+	c.bindings.expire(now)
 	for k, l := range c.targetLoads {
 		if l.running == 0 && (c.view == nil || c.view.targets[k] == nil) {
 			delete(c.targetLoads, k)
--- a/pkg/steering/random_test.go
+++ b/pkg/steering/random_test.go
@@ -105,6 +105,18 @@
 			t.Fatalf("service %q: got %d running flows, want %d", id, l.running, services[id])
 		}
 	}
+	contested := 0
+	for k, b := range c.bindings.flows {
+		if b.contested {
+			contested++
+		}
+		if f := c.flows[k]; f != nil && f.opened {
+			t.Fatalf("flow %v is in the flow table and has a binding", k)
+		}
+	}
+	if got, want := c.bindings.contested, contested; got != want {
+		t.Fatalf("contested bindings: got %d, want %d", got, want)
+	}
 	if got, want := c.Waiting(), len(c.held); got != want {
 		t.Fatalf("held packets: got %d, want %d", got, want)
 	}
@@ -238,6 +250,10 @@
 						c.Resume(now)
 					}
 					c.Updated(now)
+				case 8:
+					k := FlowKey{Caller: callerFlow(rng.IntN(8)).Caller, Route: routeAddress(rng.IntN(2))}
+					c.SetBindings([]fleet.FlowBinding{{Caller: k.Caller, VIP: k.Route, Target: fleet.Incarnation(rng.IntN(7) + 1)}}, now)
+					c.Bindings(rng.IntN(2) == 0)
 				default:
 					p := Packet{
 						Flow:    FlowKey{Caller: callerFlow(rng.IntN(8)).Caller, Route: routeAddress(rng.IntN(2))},
