registry, hub: a drain is acknowledged only once it is in force

Cause: the registry does not merge a record with an earlier start than the known one, which may be a late call of a process that has ended. The hub then confirmed the present version of the registry, which a majority had.

The drain of a process with an earlier start now drains the target if the known process is silent. If that one runs nevertheless, its next announcement ends the drain; a silent target got few new flows anyway.

--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -268,6 +268,18 @@
 	return s.targets.Version(), nil
 }
 
+// Drain is Merge for the record of a draining target that arrived at the given time. It
+// reports whether the drain is in force: no process of the target with a later start takes
+// new flows, or that process has been heard since, so that the record is a late one of a
+// process that has ended.
+func (s *Store) Drain(rec registry.Record, arrived, now time.Time) (v registry.Version, inForce bool, err error) {
+	v, err = s.Merge(rec, now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	outdated := s.targets.IsOutdatedDrain(&rec) && !s.targets.LastHeard(rec.Target.ID.Incarnation).After(arrived)
+	return v, !outdated, err
+}
+
 // Leave records that a target has announced its end, as registry.Registry.Leave does, and
 // returns the version that includes the change, if there is one.
 func (s *Store) Leave(l registry.Leave, now time.Time) registry.Version {
--- a/internal/hub/calls.go
+++ b/internal/hub/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +15,15 @@
 	"bamboowalk.org/bamboowalk/pkg/replica"
 )
 
+// OutdatedDrainError reports that a target announced a drain while another process of it,
+// with a later start, takes new flows.
+type OutdatedDrainError struct{ Target fleet.TargetID }
+
+// Error names the target.
+func (e *OutdatedDrainError) Error() string {
+	return fmt.Sprintf("drain of %s is not in force: a process with a later start takes new flows", e.Target)
+}
+
 // Announce records an announcement of a target. It returns the hub to which the
 // target should send the next one, or "" for this hub: targets announce themselves
 // to hubs of their own zone, so that a partition between zones separates them from
@@ -27,12 +37,11 @@
 	if d.store.CatchingUp(now) {
 		return "", &UnavailableError{Err: catchingUpError{}}
 	}
-	v, err := d.store.Merge(rec, now)
-	if err != nil {
-		return "", err
-	}
 	if rec.Target.State == fleet.TargetDraining {
-		return "", d.confirm(ctx, rec.Target.ID.Incarnation, v)
+		return "", d.announceDrain(ctx, rec, now)
+	}
+	if _, err := d.store.Merge(rec, now); err != nil {
+		return "", err
 	}
 	next := d.store.HubOf(rec.Target.Zone, rec.Target.ID.Incarnation)
 	if next == d.Settings.ID() {
@@ -41,6 +50,29 @@
 	return next, nil
 }
 
+// announceDrain records the announcement of a draining target that arrived at the given time, and
+// waits for a majority of the hubs. While another process of the target is known whose start
+// is later, it waits until that one is silent or is heard again: an acknowledgement of a
+// drain that no hub has recorded would promise that no new flow reaches the target.
+func (d *Daemon) announceDrain(ctx context.Context, rec registry.Record, arrived time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	for {
+		v, inForce, err := d.store.Drain(rec, arrived, time.Now())
+		if err != nil {
+			return err
+		}
+		if inForce {
+			return d.confirm(ctx, rec.Target.ID.Incarnation, v)
+		}
+		select {
+		case <-ctx.Done():
+			return &UnavailableError{Err: &OutdatedDrainError{Target: rec.Target.ID}}
+		case <-time.After(tickInterval):
+		}
+	}
+}
+
 // Leave records that a target has announced its end, as registry.Registry.Leave does. It
 // waits for a majority of the hubs as Announce does, and returns the same
 // UnavailableErrors.
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -564,3 +564,60 @@
 		runSteps(t, test.name, test.steps)
 	}
 }
+
+// TestDrainOfEarlierStart guards against a drain that is acknowledged and recorded nowhere:
+// a target restarts under its id while its clock is behind that of its former process.
+func TestDrainOfEarlierStart(t *testing.T) {
+	const ready, draining = fleet.TargetReady, fleet.TargetDraining
+	for _, test := range []struct {
+		name string
+		// silence is the time since the last announcement of the known process.
+		silence time.Duration
+		drain   Record
+		want    fleet.TargetState
+	}{
+		{"the known process is silent", 4 * time.Second, record(1, 1, 10, 5, draining), draining},
+		{"the known process is not silent", time.Second, record(1, 1, 10, 5, draining), ready},
+		{"no drain", 4 * time.Second, record(1, 1, 10, 5, ready), ready},
+		{"another service", 4 * time.Second, record(2, 1, 10, 5, draining), ready},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r, other := New(silenceLimit, start), New(silenceLimit, start)
+			known := record(1, 1, 20, 3, ready)
+			for _, r := range []*Registry{r, other} {
+				if _, err := r.Merge(known, start); err != nil {
+					t.Fatal(err)
+				}
+			}
+			test.drain.Target.ID.Incarnation = 1
+			now := start.Add(test.silence)
+			if _, err := r.Merge(test.drain, now); err != nil {
+				t.Fatal(err)
+			}
+			checkIndexes(t, r)
+			for _, rec := range r.Changes(0, now) {
+				if _, err := other.MergeFrom("hub", rec, now); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for i, r := range []*Registry{r, other} {
+				if got, _ := r.Get(1); got.Target.State != test.want {
+					t.Errorf("hub %d: got state %s, want %s", i, got.Target.State, test.want)
+				}
+			}
+			if got, want := r.IsOutdatedDrain(&test.drain), test.drain.Target.State == draining && test.want == ready; got != want {
+				t.Errorf("IsOutdatedDrain: got %v, want %v", got, want)
+			}
+			// The known process runs after all.
+			again := record(1, 1, 20, 4, ready)
+			for _, r := range []*Registry{r, other} {
+				if _, err := r.Merge(again, now); err != nil {
+					t.Fatal(err)
+				}
+				if got, _ := r.Get(1); got.Target.State != ready {
+					t.Errorf("after an announcement of the known process: got state %s, want %s", got.Target.State, ready)
+				}
+			}
+		})
+	}
+}
