--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -97,6 +97,10 @@
 			fields = append(fields, targetField(logging.Avoided, d.Avoided), zap.Float64(logging.Slowness, d.Slowness),
 				zap.Duration(logging.EstimateAge, d.EstimateAge))
 		}
+		if d.Cause == steering.CauseBinding {
+			o.Log.Info("packet forwarded against its cookie", append(fields, zap.Uint32(logging.Cookie, uint32(p.Cookie)))...)
+			return
+		}
 		o.Log.Info("opening packet forwarded", fields...)
 	case steering.Reset:
 		if d.Target != nil {
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -38,6 +38,8 @@
 	// Former is the target to which an earlier opening packet of the same flow
 	// was forwarded.
 	Former = "Former"
+	// Cookie is the cookie of a packet.
+	Cookie = "Cookie"
 	// After is the time since the start of the flow, health check or call that
 	// the line is about.
 	After = "After"
