--- a/pkg/steering/binding_test.go
+++ b/pkg/steering/binding_test.go
@@ -144,3 +144,11 @@
 		t.Errorf("full table with a contested flow: got %+v, want %+v", got, want)
 	}
 }
+
+// TestCrashBeforeReport guards against packets of a contested flow that go to another target
+// after a crash of the only VM that has seen the flow open, before it has reported the flow.
+func TestCrashBeforeReport(t *testing.T) {
+	s := newHarness(t, target(1, "counter", "z0"), target(2, "counter", "z0"))
+	opener, other := s.openContested(flowOf(1))
+	newHarness(t, s.records...).send(flowOf(1), other, opener)
+}
