--- a/internal/feed/bindings.go
+++ b/internal/feed/bindings.go
@@ -43,8 +43,8 @@
 	return bindingLog{limiter: rate.NewLimiter(bindingRate, bindingBurst)}
 }
 
-// add adds bindings, which own tells to be reports of entry VMs to this hub, and reports
-// whether it has added any.
+// add adds bindings, and reports whether it has added any. own is set if entry VMs have
+// reported them to this hub; such bindings are limited.
 func (l *bindingLog) add(list []fleet.FlowBinding, own bool, now time.Time) bool {
 	before := l.version
 	for _, b := range list {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -482,11 +482,11 @@
 	}
 }
 
-// acknowledge sends the hub the versions of the targets and of the catalog that
-// this VM has applied, the targets that this VM suspects, the targets at which
-// requests that this VM forwarded were recently overdue, the load report that is due, if
-// any, and contested flows whose targets this VM knows. It sends nothing if the hub has been sent the same less than
-// ackInterval ago.
+// acknowledge sends the hub the versions of the targets and of the catalog that this VM
+// has applied, the targets that this VM suspects, the targets at which requests that this
+// VM forwarded were recently overdue, the load report that is due, if any, and the contested
+// flows that it has not reported yet. It sends nothing if the hub has been sent the same
+// less than ackInterval ago.
 func (f *follower) acknowledge(s *hubFeed, v registry.Version) error {
 	now := time.Now()
 	f.mu.Lock()
--- a/internal/hub/calls.go
+++ b/internal/hub/calls.go
@@ -50,10 +50,10 @@
 	return next, nil
 }
 
-// announceDrain records the announcement of a draining target that arrived at the given time, and
-// waits for a majority of the hubs. While another process of the target is known whose start
-// is later, it waits until that one is silent or is heard again: an acknowledgement of a
-// drain that no hub has recorded would promise that no new flow reaches the target.
+// announceDrain records the announcement of a draining target that arrived at the given
+// time, and waits for a majority of the hubs. While a process of the target with a later
+// start is known, it first waits until that one is silent or is heard again: to acknowledge
+// a drain that no hub has recorded would promise that no new flow reaches the target.
 func (d *Daemon) announceDrain(ctx context.Context, rec registry.Record, arrived time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
--- a/pkg/steering/binding.go
+++ b/pkg/steering/binding.go
@@ -178,10 +178,10 @@
 	c.bindings.set(p.Flow, binding{target: p.Cookie, closed: p.End, since: now, expiresAt: now.Add(c.idleTime())})
 }
 
-// Bindings returns the contested flows that this VM has not reported yet, at most
-// maxReportedBindings. all adds those to them that it has seen open, for a hub that has
-// received none. A flow of whose earlier opening packets this VM knows nothing is reported
-// without a target until it opens, since another VM may have seen it open.
+// Bindings returns at most maxReportedBindings of the contested flows that this VM has not
+// reported yet. With all, those that it has seen open count as not reported: another hub
+// knows none of them. A flow that has not opened here is reported without a target, since
+// another VM may have seen it open.
 func (c *Core) Bindings(all bool) []fleet.FlowBinding {
 	c.mu.Lock()
 	defer c.mu.Unlock()
