registry: a late drain does not drain a target that is cut off

A target was cut off, a late drain of an earlier process drained it, and a late call to leave, which does not tell its process, then ended it: its open flows would have been reset.

A drain with an earlier start is not in force while a process with a later start takes new flows, and not acknowledged until that one is heard again, or until the target has announced itself for 30 s while that one is silent, when the registry corrects the start as before.

--- a/internal/feed/bindings.go
+++ b/internal/feed/bindings.go
@@ -10,7 +10,7 @@
 
 const (
 	// bindingRate is the number of bindings per second that a hub takes from its entry
-	// VMs, and bindingBurst the number at once. A binding takes about 26 bytes in each
+	// VMs, and bindingBurst the number at once. A binding takes about 20 bytes in each
 	// message. At the design scale, 15 flows per second and hub are contested if 0.1 % of
 	// the packets are lost.
 	bindingRate, bindingBurst = 50, 200
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -258,23 +258,11 @@
 			if refuted {
 				rec.Revision++
 			}
-		case r.drainsSilent(e, &rec, now):
-			e.record.Target.State = fleet.TargetDraining
-			e.record.Revision++
-			r.recordChange(e, CauseState)
 		}
 	}
 	return r.MergeFrom("", rec, now)
 }
 
-// drainsSilent reports whether a process with an earlier start than the known one announces
-// that it drains, and the known one is silent. The process may have started by a clock that
-// was set back meanwhile. If the known one runs nevertheless, its next announcement ends
-// the drain.
-func (r *Registry) drainsSilent(e *entry, rec *Record, now time.Time) bool {
-	return r.IsOutdatedDrain(rec) && now.Sub(e.lastHeard) > r.SilenceLimit && rec.Target.ID.Service == e.record.Target.ID.Service
-}
-
 // IsOutdatedDrain reports whether rec says that a target drains, but a process of that
 // target with a later start is known, which takes new flows.
 func (r *Registry) IsOutdatedDrain(rec *Record) bool {
