registry: find late targets whatever the order of their records

A target that had stopped could be found late when its last announcement reached this hub from another one after newer announcements of others, as when a feed begins: until those had been renewed, about 1.2 s, Overdue did not return it, and no VM was asked to check it.

Cause: the list of renewals is in the order of their arrival. Overdue took it for the order of the announcements and stopped at the first recent one.

Overdue now goes on until no later entry can be overdue: entries are at most heardSlack out of order, but for those before unorderedUntil.

--- a/pkg/registry/holders.go
+++ b/pkg/registry/holders.go
@@ -103,8 +103,8 @@
 }
 
 // adoptHolders adopts the holders of a record that is not newer than the entry, if
-// they are in force instead of those of the entry. An entry that was restored and has not
-// been heard since takes over the warm-up, which is not known after a restart.
+// they are in force instead of those of the entry. An entry that was restored and
+// has not been renewed since takes over the warm-up, which is not known after a restart.
 func (r *Registry) adoptHolders(e *entry, rec *Record, now time.Time) {
 	if warmAt := now.Add(rec.Warmup); e.heardAt == nil && e.record.Born == rec.Born && len(rec.Holders) > 0 && warmAt.After(e.warmAt) {
 		e.warmAt = warmAt
--- a/pkg/registry/index_test.go
+++ b/pkg/registry/index_test.go
@@ -70,6 +70,42 @@
 	}
 }
 
+// checkOverdue fails the test if Overdue does not return each target whose last
+// announcement was longer ago than d.
+func checkOverdue(t *testing.T, r *Registry, d time.Duration, now time.Time) {
+	t.Helper()
+	var want []fleet.Incarnation
+	for id, e := range r.entries {
+		if e.heardAt != nil && !e.record.Gone() && now.Sub(e.lastHeard) > d {
+			want = append(want, id)
+		}
+	}
+	got := r.Overdue(d, now)
+	slices.Sort(got)
+	slices.Sort(want)
+	if !slices.Equal(got, want) {
+		t.Fatalf("targets without an announcement for %v: got %v, want %v", d, got, want)
+	}
+}
+
+// TestOverdueAfterOldRecord guards against a silent target that is not found because a VM
+// that was cut off has reported it after others with newer announcements.
+func TestOverdueAfterOldRecord(t *testing.T) {
+	r := New(silenceLimit, start)
+	now := start.Add(10 * time.Second)
+	if _, err := r.Merge(record(1, 1, 10, 1, fleet.TargetReady), now); err != nil {
+		t.Fatal(err)
+	}
+	old := record(2, 2, 10, 1, fleet.TargetReady)
+	old.Age = 2 * time.Second
+	if _, err := r.MergeFrom("hub", old, now); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := r.Overdue(1800*time.Millisecond, now), []fleet.Incarnation{2}; !slices.Equal(got, want) {
+		t.Errorf("Overdue: got %v, want %v", got, want)
+	}
+}
+
 // TestRegistryRandomCalls guards against lists by address or by version that differ from
 // the targets after any order of announcements, whose writers reuse ids and addresses.
 func TestRegistryRandomCalls(t *testing.T) {
@@ -129,6 +165,7 @@
 					t.Fatal(err)
 				}
 				checkIndexes(t, r)
+				checkOverdue(t, r, 1800*time.Millisecond, now)
 			}
 		})
 	}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -33,6 +33,9 @@
 	// silent, show that the later start is not true. It exceeds the partitions that are
 	// usual, and is a part of GoneRetention.
 	lateLimit = 30 * time.Second
+	// heardSlack is the time by which an announcement that another VM reports is usually
+	// older than those that were recorded before it.
+	heardSlack = 300 * time.Millisecond
 )
 
 // Causes of a change.
@@ -88,6 +91,10 @@
 		heardVersion Version
 		heard        list.List
 		lastTick     time.Time
+		// newestHeard is the highest lastHeard of all entries. Before unorderedUntil, an
+		// entry in heard may be followed by one with a lastHeard that is more than
+		// heardSlack earlier; after it, none is.
+		newestHeard, unorderedUntil time.Time
 	}
 
 	entry struct {
@@ -184,6 +191,16 @@
 	e.lastHeard = at
 }
 
+// noteHeard updates newestHeard and unorderedUntil after a change of an entry's lastHeard.
+func (r *Registry) noteHeard(e *entry) {
+	if r.newestHeard.Sub(e.lastHeard) > heardSlack {
+		r.unorderedUntil = r.newestHeard
+	}
+	if e.lastHeard.After(r.newestHeard) {
+		r.newestHeard = e.lastHeard
+	}
+}
+
 // LastHeard returns the time of the last announcement of a target to any VM, or zero
 // for an unknown target.
 func (r *Registry) LastHeard(id fleet.Incarnation) time.Time {
@@ -193,19 +210,19 @@
 	return time.Time{}
 }
 
-// Overdue returns the targets that are not gone and have not been heard for longer
-// than d. Its cost depends on the number of such targets.
+// Overdue returns the targets that are not gone and whose last announcement was longer ago
+// than d. Its cost depends on the number of such targets, but for some time after records
+// with old announcements have arrived, as from a VM that was cut off.
 func (r *Registry) Overdue(d time.Duration, now time.Time) []fleet.Incarnation {
 	var ids []fleet.Incarnation
 	for el := r.heard.Front(); el != nil; el = el.Next() {
 		e := el.Value.(*entry)
-		if e.record.Gone() {
-			continue
-		}
-		if now.Sub(e.lastHeard) <= d {
+		if now.Sub(e.lastHeard) <= d-heardSlack && e.lastHeard.After(r.unorderedUntil) {
 			break
 		}
-		ids = append(ids, e.record.Target.ID.Incarnation)
+		if !e.record.Gone() && now.Sub(e.lastHeard) > d {
+			ids = append(ids, e.record.Target.ID.Incarnation)
+		}
 	}
 	return ids
 }
@@ -311,6 +328,8 @@
 // does not list the target, because the target has not announced itself since.
 func (r *Registry) Restore(rec Record, now time.Time) error {
 	_, err := r.merge(rec, now)
+	// The entry may have kept its place in heard.
+	r.unorderedUntil = r.newestHeard
 	return err
 }
 
@@ -364,6 +383,7 @@
 		e.lastHeard, e.heardBefore, e.leaveAt, e.rival = lastHeard, time.Time{}, time.Time{}, rival{}
 	}
 	e.hear(lastHeard)
+	r.noteHeard(e)
 	e.record = rec
 	e.warmAt = now.Add(rec.Warmup)
 	e.record.Silent = !rec.Gone() && now.Sub(lastHeard) > r.SilenceLimit
@@ -400,6 +420,7 @@
 		return false
 	}
 	e.hear(lastHeard)
+	r.noteHeard(e)
 	r.recordHeard(e, source)
 	if e.record.Silent && now.Sub(lastHeard) <= r.SilenceLimit {
 		e.record.Silent = false
@@ -568,6 +589,9 @@
 func (r *Registry) Tick(now time.Time) {
 	gap := now.Sub(r.lastTick)
 	r.lastTick = now
+	if gap > maxTickGap {
+		r.newestHeard, r.unorderedUntil = r.newestHeard.Add(gap), r.unorderedUntil.Add(gap)
+	}
 	for id, e := range r.entries {
 		if gap > maxTickGap {
 			e.lastHeard = e.lastHeard.Add(gap)
