--- a/internal/feed/drain_test.go
+++ b/internal/feed/drain_test.go
@@ -33,14 +33,14 @@
 	}
 	arrived := now.Add(time.Second)
 	if drain(arrived, arrived) {
-		t.Error("drain while the later process was heard before: got in force, want not yet")
+		t.Error("drain after the last announcement of the later process: got in force, want not yet")
 	}
 	known.Sequence++
 	if _, err := s.Merge(known, arrived.Add(time.Second)); err != nil {
 		t.Fatal(err)
 	}
 	if !drain(arrived.Add(time.Second), arrived) {
-		t.Error("drain while the later process was heard since: got not in force, want a late call")
+		t.Error("drain before an announcement of the later process: got not in force, want it acknowledged as a late call")
 	}
 	if rec, _ := s.targets.Get(1); rec.Target.State != fleet.TargetReady {
 		t.Errorf("target that runs: got state %s, want %s", rec.Target.State, fleet.TargetReady)
--- a/internal/feed/restored.go
+++ b/internal/feed/restored.go
@@ -137,7 +137,7 @@
 		if !ok {
 			continue
 		}
-		// The record that was heard tells how long the target has been silent.
+		// The record that has arrived says how long the target has been silent.
 		restored.Age = rec.Age
 		if err := s.targets.Restore(restored, now); err != nil {
 			return err
--- a/internal/feed/restored_test.go
+++ b/internal/feed/restored_test.go
@@ -31,7 +31,7 @@
 }
 
 // TestRestoredTargetsOfOneAddress guards against a saved target that is still published
-// after another one has been heard at its address, because a third one was saved there.
+// after another one has announced itself at its address, because a third one was saved there.
 func TestRestoredTargetsOfOneAddress(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	saved := NewStore(Hub{VM: "a", Zone: "z0"}, registry.New(3*time.Second, now), now)
--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -270,8 +270,8 @@
 
 // Drain is Merge for the record of a draining target that arrived at the given time. It
 // reports whether the drain is in force: no process of the target with a later start takes
-// new flows, or that process has been heard since, so that the record is a late one of a
-// process that has ended.
+// new flows, or that process has announced itself after the record arrived, which is then a
+// late one of a process that has ended.
 func (s *Store) Drain(rec registry.Record, arrived, now time.Time) (v registry.Version, inForce bool, err error) {
 	v, err = s.Merge(rec, now)
 	s.mu.Lock()
--- a/internal/hub/calls.go
+++ b/internal/hub/calls.go
@@ -52,9 +52,9 @@
 
 // announceDrain records the announcement of a draining target that arrived at the given
 // time, and waits for a majority of the hubs. While a process of the target with a later
-// start takes new flows, it first waits until that one is heard again, which shows that the
-// announcement is a late one: to acknowledge a drain that no hub has recorded would promise
-// that no new flow reaches the target.
+// start takes new flows, it first waits for an announcement of that process, which shows that
+// the drain is a late call: to acknowledge a drain that no hub has recorded would promise that
+// no new flow reaches the target.
 func (d *Daemon) announceDrain(ctx context.Context, rec registry.Record, arrived time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
--- a/pkg/steering/binding.go
+++ b/pkg/steering/binding.go
@@ -230,8 +230,8 @@
 	return 0
 }
 
-// SetBindings records contested flows that other VMs have reported. The router may send
-// their packets here at any time, and what this VM has seen itself counts more.
+// SetBindings records contested flows that other VMs have reported, since the router may send
+// their packets here at any time. It changes no flow that has opened at this VM.
 func (c *Core) SetBindings(list []fleet.FlowBinding, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/steering/binding_test.go
+++ b/pkg/steering/binding_test.go
@@ -67,7 +67,7 @@
 		successor.now = successor.now.Add(5 * time.Second)
 		successor.core.Tick(successor.now)
 	}
-	// A report does not outweigh what a VM has seen itself.
+	// A report does not change a flow that has opened here.
 	reports[0].Target = other
 	s.core.SetBindings(reports, s.now)
 	s.send(f, other, opener)
@@ -152,3 +152,28 @@
 	opener, other := s.openContested(flowOf(1))
 	newHarness(t, s.records...).send(flowOf(1), other, opener)
 }
+
+// TestOpeningSentLate guards against packets of an open flow that go to a target whose VM
+// was suspended between its decision about the opening packet and the sending: another VM
+// has forwarded a copy, and the flow is open at another target.
+func TestOpeningSentLate(t *testing.T) {
+	late := newHarness(t, target(1, "counter", "z0"), target(2, "counter", "z0"))
+	f := flowOf(1)
+	other := late.open(f, 0)
+	s := newHarness(t, late.records...)
+	var opener fleet.Incarnation
+	for opener = s.open(f, 1); opener == other; opener = s.open(f, 2) {
+		s.now = s.now.Add(400 * time.Millisecond)
+	}
+	s.send(f, opener, opener)
+	// The caller now has the answer of the other target as well.
+	s.now = s.now.Add(5 * time.Second)
+	s.core.Tick(s.now)
+	s.send(f, other, opener)
+	reports := s.core.Bindings(false)
+	late.core.SetBindings(reports, late.now)
+	late.send(f, other, opener)
+	late.now = late.now.Add(5 * time.Second)
+	late.core.Tick(late.now)
+	late.send(f, other, opener)
+}
