--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -565,6 +565,37 @@
 	}
 }
 
+// TestAddressOfDroppedService guards against a target of a service that the catalog has
+// dropped, which ends another one at its address, and against one that never does although
+// its service is back.
+func TestAddressOfDroppedService(t *testing.T) {
+	r, now := New(silenceLimit, start), start
+	known := map[fleet.ServiceID]bool{"s0": true, "s1": true}
+	r.Known = func(id fleet.ServiceID) bool { return known[id] }
+	announce := func(id fleet.Incarnation, seq Sequence) {
+		t.Helper()
+		if _, err := r.Merge(record(id, 1, int64(id), seq, fleet.TargetReady), now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	announce(2, 1)
+	known["s1"] = false
+	for seq := Sequence(1); seq <= 10; seq++ {
+		now = now.Add(time.Second)
+		r.Tick(now)
+		announce(3, seq)
+	}
+	if got, _ := r.Get(2); got.State() != StateSilent {
+		t.Errorf("former target at the address: got state %s, want %s", got.State(), StateSilent)
+	}
+	known["s1"] = true
+	now = now.Add(time.Second)
+	announce(3, 11)
+	if got, _ := r.Get(2); got.State() != fleet.TargetGone {
+		t.Errorf("former target once the service is back: got state %s, want %s", got.State(), fleet.TargetGone)
+	}
+}
+
 // TestDrainOfEarlierStart guards against a drain that is acknowledged and recorded nowhere:
 // a target restarts under its id while its clock is behind that of its former process.
 func TestDrainOfEarlierStart(t *testing.T) {
