gateway: report contested flows when there are any, without a ticker

Cause: a goroutine looked for contested flows to report each 20 ms, on VMs with 0.06 cores.

The receive loop now signals that there are some, which it reads without a lock, and the report follows after 20 ms.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -46,9 +46,9 @@
 	// refused for lack of room. It covers the repetitions of callers' packets that were
 	// lost while this VM was down.
 	admissionDelay = 2 * time.Second
-	// bindingInterval is the time between two searches for contested flows to report. A
+	// bindingDelay is the time from a contested flow until it is reported, with others. A
 	// crash in this time loses what only this VM knows.
-	bindingInterval = 20 * time.Millisecond
+	bindingDelay = 20 * time.Millisecond
 	// readHeaderTimeout bounds the time to read the headers of an HTTP request.
 	readHeaderTimeout = 2 * time.Second
 )
@@ -106,14 +106,15 @@
 		core    *steering.Core
 		salt    uint64
 		backlog steering.Backlog
-		// held is signalled when an opening packet is held.
-		held     chan struct{}
-		conn     *net.UDPConn
-		follower follower
-		checker  checker
-		observer observer
-		ready    atomic.Bool
-		draining atomic.Bool
+		// held is signalled when an opening packet is held, and contested when a contested
+		// flow is to be reported.
+		held, contested chan struct{}
+		conn            *net.UDPConn
+		follower        follower
+		checker         checker
+		observer        observer
+		ready           atomic.Bool
+		draining        atomic.Bool
 		// refusing is set if the last line of logConfirmation says that new flows are
 		// refused. Only the goroutine of runTicks uses it.
 		refusing   bool
@@ -181,7 +182,7 @@
 		return &OpenError{What: "the HTTP port", Err: err}
 	}
 	d.conn = conn
-	d.held = make(chan struct{}, 1)
+	d.held, d.contested = make(chan struct{}, 1), make(chan struct{}, 1)
 	d.salt = xxhash.Sum64String(string(d.Settings.ID))
 	d.core = steering.New(d.Settings.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	d.core.Regions = d.Settings.Regions
@@ -222,7 +223,7 @@
 			d.logConfirmation(now)
 		})
 	})
-	group.Go(func() error { return runTicks(workCtx, bindingInterval, d.reportBindings) })
+	group.Go(func() error { return d.reportBindings(workCtx) })
 	group.Go(func() error { return d.receive(workCtx) })
 	group.Go(func() error { return d.checker.run(workCtx) })
 	if d.Settings.LoadReports {
@@ -335,6 +336,12 @@
 		}
 		out = d.execute(out[:0], b, &p, 0, now)
 		out = d.release(out, now)
+		if d.core.BindingsDue() {
+			select {
+			case d.contested <- struct{}{}:
+			default:
+			}
+		}
 	}
 }
 
@@ -369,10 +376,22 @@
 	}
 }
 
-// reportBindings reports contested flows that no report has named.
-func (d *Daemon) reportBindings(time.Time) {
-	if d.core.BindingsDue() {
-		d.follower.acknowledgeAgain()
+// reportBindings reports contested flows until ctx ends.
+func (d *Daemon) reportBindings(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.contested:
+		}
+		for d.core.BindingsDue() {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(bindingDelay):
+			}
+			d.follower.acknowledgeAgain()
+		}
 	}
 }
 
--- a/pkg/steering/binding.go
+++ b/pkg/steering/binding.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"bamboowalk.org/bamboowalk/pkg/fleet"
@@ -53,8 +54,10 @@
 		lastSweep time.Time
 		// rejected counts the bindings for which there was no place.
 		rejected uint64
-		// unreported lists the contested flows that this VM has not reported yet.
+		// unreported lists the contested flows that this VM has not reported yet, and due is
+		// set while there are any.
 		unreported []FlowKey
+		due        atomic.Bool
 	}
 
 	// BindingStats contains the numbers of bindings, of contested ones, and of those for
@@ -122,6 +125,7 @@
 func (b *bindings) report(k FlowKey) {
 	if len(b.unreported) < maxUnreported && !slices.Contains(b.unreported, k) {
 		b.unreported = append(b.unreported, k)
+		b.due.Store(true)
 	}
 }
 
@@ -213,6 +217,7 @@
 			list = append(list, b)
 		}
 	}
+	c.bindings.due.Store(len(c.bindings.unreported) > 0)
 	return list
 }
 
@@ -266,12 +271,9 @@
 	return b.own
 }
 
-// BindingsDue reports whether there are contested flows that Bindings returns.
-func (c *Core) BindingsDue() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.bindings.unreported) > 0
-}
+// BindingsDue reports whether there are contested flows that Bindings returns. It takes no
+// lock, since it is called after each packet.
+func (c *Core) BindingsDue() bool { return c.bindings.due.Load() }
 
 // BindingStats returns the current numbers.
 func (c *Core) BindingStats() BindingStats {
--- a/pkg/steering/random_test.go
+++ b/pkg/steering/random_test.go
@@ -114,6 +114,9 @@
 			t.Fatalf("flow %v is in the flow table and has a binding", k)
 		}
 	}
+	if got, want := c.BindingsDue(), len(c.bindings.unreported) > 0; got != want {
+		t.Fatalf("BindingsDue: got %v, want %v", got, want)
+	}
 	if got, want := c.bindings.contested, contested; got != want {
 		t.Fatalf("contested bindings: got %d, want %d", got, want)
 	}
